--- /dev/null
+++ b/features/kernel.feature
@@ -0,0 +1,7 @@
+Feature: Kernel
+  Services are started in order, found by name and stopped in reverse.
+
+  Scenario: services stop in the reverse order of their start
+    Given a kernel with the services "a" and "b"
+    When the kernel runs and is shut down
+    Then the events are "start a, start b, stop b, stop a"
--- /dev/null
+++ b/src/acaciasaddle/clock/__init__.py
@@ -0,0 +1,9 @@
+"""Clocks: readings in seconds that go on while the machine is suspended."""
+
+from __future__ import annotations
+
+from acaciasaddle.clock._clock import BootClock
+from acaciasaddle.clock._clock import Clock
+from acaciasaddle.clock._clock import TrioClock
+
+__all__ = ["BootClock", "Clock", "TrioClock"]
--- /dev/null
+++ b/src/acaciasaddle/dispatch/_api.py
@@ -0,0 +1,89 @@
+"""Interface of the dispatcher to the other services."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from acaciasaddle.kernel import Service
+from acaciasaddle.model import UnitId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from acaciasaddle.model import BodySource
+    from acaciasaddle.model import OnceRecord
+    from acaciasaddle.model import ReplySink
+    from acaciasaddle.model import UpstreamId
+    from acaciasaddle.model import WorkRequest
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamLoad:
+    """Load of an upstream as its holder observes it.
+
+    ``busy`` is the part of slot time in use, 0 to 1, averaged over some seconds. ``queued`` is
+    the number of waiting requests. ``unit_busy`` is the slot time used per second by each unit.
+    """
+
+    busy: float
+    queued: int
+    unit_busy: Mapping[UnitId, float]
+
+
+class Dispatcher(Service):
+    """Queues requests for the upstreams that this host holds, and sends them."""
+
+    name: ClassVar[str] = "dispatch"
+
+    @abstractmethod
+    async def serve(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
+        """Serve a request at ``req.upstream``.
+
+        Raises ``NotOwnerError`` if the unit is not held here, ``RefusedError`` otherwise.
+        """
+
+    @abstractmethod
+    def hold(self, unit: UnitId) -> None:
+        """Keep new and queued requests of the unit waiting."""
+
+    @abstractmethod
+    async def drained(self, unit: UnitId) -> None:
+        """Wait until no request of the unit is in progress at the upstream."""
+
+    @abstractmethod
+    def bulky_running(self, unit: UnitId) -> int:
+        """Return the number of bulky requests of the unit in progress."""
+
+    @abstractmethod
+    def resume(self, unit: UnitId) -> None:
+        """Let waiting requests of the unit go on here."""
+
+    @abstractmethod
+    def reject(self, unit: UnitId) -> None:
+        """Fail waiting requests of the unit with ``NotOwnerError``: it is owned elsewhere now."""
+
+    @abstractmethod
+    def upstream_lost(self, upstream: UpstreamId) -> None:
+        """Abort requests in progress at an upstream whose lease has expired."""
+
+    @abstractmethod
+    def export_records(
+        self, upstream: UpstreamId, units: Iterable[UnitId] | None
+    ) -> tuple[OnceRecord, ...]:
+        """Return the records of the units, or of all units of the upstream with ``None``."""
+
+    @abstractmethod
+    def import_records(self, upstream: UpstreamId, records: Iterable[OnceRecord]) -> None:
+        """Add records received from another host; ``started`` ones become ``unknown``."""
+
+    @abstractmethod
+    def load(self, upstream: UpstreamId) -> UpstreamLoad:
+        """Return the observed load of an upstream."""
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Wait until no request is queued or in progress."""
--- /dev/null
+++ b/src/acaciasaddle/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Package."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/acaciasaddle/errors/__init__.py
@@ -0,0 +1,39 @@
+"""Exceptions raised by acaciasaddle. Every one names the step and the peer at which it arose."""
+
+from __future__ import annotations
+
+from acaciasaddle.errors._tree import AcaciasaddleError
+from acaciasaddle.errors._tree import AuthorityLostError
+from acaciasaddle.errors._tree import ConditionFailedError
+from acaciasaddle.errors._tree import ConfigError
+from acaciasaddle.errors._tree import NotOwnerError
+from acaciasaddle.errors._tree import Outcome
+from acaciasaddle.errors._tree import PeerError
+from acaciasaddle.errors._tree import PeerProtocolError
+from acaciasaddle.errors._tree import PeerUnreachableError
+from acaciasaddle.errors._tree import PlatformError
+from acaciasaddle.errors._tree import PlatformUnavailableError
+from acaciasaddle.errors._tree import RefusedError
+from acaciasaddle.errors._tree import RequestError
+from acaciasaddle.errors._tree import UpstreamError
+from acaciasaddle.errors._tree import UpstreamUnreachableError
+from acaciasaddle.errors._tree import WriteOutcomeUnknownError
+
+__all__ = [
+    "AcaciasaddleError",
+    "AuthorityLostError",
+    "ConditionFailedError",
+    "ConfigError",
+    "NotOwnerError",
+    "Outcome",
+    "PeerError",
+    "PeerProtocolError",
+    "PeerUnreachableError",
+    "PlatformError",
+    "PlatformUnavailableError",
+    "RefusedError",
+    "RequestError",
+    "UpstreamError",
+    "UpstreamUnreachableError",
+    "WriteOutcomeUnknownError",
+]
--- /dev/null
+++ b/src/acaciasaddle/errors/_tree.py
@@ -0,0 +1,140 @@
+"""The exception tree."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What is known about the execution of a request at its upstream."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class AcaciasaddleError(Exception):
+    """Base of all errors.
+
+    ``step`` names the operation that failed, for example ``peer.call`` or ``grant.renew``.
+    ``peer`` is the host, upstream or file that was dealt with, or an empty string.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step}, {self.peer}" if self.peer else self.step
+        return f"{self.message} ({where})"
+
+
+class ConfigError(AcaciasaddleError):
+    """Settings, inventory or rules are invalid. ``problems`` has one entry per finding."""
+
+    def __init__(
+        self, message: str, *, problems: tuple[str, ...] = (), step: str, peer: str = ""
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.problems = problems
+
+
+class PlatformError(AcaciasaddleError):
+    """The platform's service failed or refused an operation."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform did not answer, and the operation did not take effect."""
+
+
+class WriteOutcomeUnknownError(PlatformError):
+    """A write was sent but its answer was lost; it may or may not have taken effect."""
+
+
+class ConditionFailedError(PlatformError):
+    """A conditional write lost: at least one row has another version than expected."""
+
+    def __init__(self, message: str, *, keys: tuple[str, ...], step: str, peer: str = "") -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.keys = keys
+
+
+class PeerError(AcaciasaddleError):
+    """Communication with another entry host failed."""
+
+
+class PeerUnreachableError(PeerError):
+    """No connection to the peer, or the connection ended before the answer.
+
+    ``refused`` is true if the peer's host refused the connection: its process has ended.
+    ``sent`` is true if the request may have reached the peer.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        refused: bool = False,
+        sent: bool = False,
+        step: str,
+        peer: str = "",
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.refused = refused
+        self.sent = sent
+
+
+class PeerProtocolError(PeerError):
+    """A peer sent a malformed or unexpected message."""
+
+
+class AuthorityLostError(AcaciasaddleError):
+    """This host may no longer order or dispatch to the upstream."""
+
+
+class UpstreamError(AcaciasaddleError):
+    """An upstream failed. ``outcome`` says whether the request may have run."""
+
+    def __init__(self, message: str, *, outcome: Outcome, step: str, peer: str = "") -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.outcome = outcome
+
+
+class UpstreamUnreachableError(UpstreamError):
+    """The upstream could not be connected to; the request was not sent."""
+
+
+class RequestError(AcaciasaddleError):
+    """A caller's request is invalid; ``status`` is the HTTP status to answer with."""
+
+    def __init__(self, message: str, *, status: int, step: str, peer: str = "") -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.status = status
+
+
+class RefusedError(AcaciasaddleError):
+    """A request is refused or failed before its answer began.
+
+    ``retry_after`` is in seconds; ``None`` if a repeat would not help.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        outcome: Outcome,
+        status: int,
+        retry_after: float | None = None,
+        step: str,
+        peer: str = "",
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.outcome = outcome
+        self.status = status
+        self.retry_after = retry_after
+
+
+class NotOwnerError(AcaciasaddleError):
+    """The host does not hold the unit; the request did not run and may be routed again."""
--- /dev/null
+++ b/src/acaciasaddle/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""Micro-kernel: services that are started in order and find each other by name."""
+
+from __future__ import annotations
+
+from acaciasaddle.kernel._kernel import Kernel
+from acaciasaddle.kernel._kernel import Service
+
+__all__ = ["Kernel", "Service"]
--- /dev/null
+++ b/src/acaciasaddle/kernel/_kernel.py
@@ -0,0 +1,70 @@
+"""Registry and life cycle of services."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+from typing import ClassVar
+from typing import TypeVar
+
+import trio
+
+from acaciasaddle.errors import AcaciasaddleError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+S = TypeVar("S", bound="Service")
+
+
+class Service(ABC):
+    """A part of the process with a name and tasks of its own."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until cancelled; call ``task_status.started()`` once other services may use it."""
+
+    async def stop(self) -> None:  # noqa: B027
+        """Finish the work in progress before the service is cancelled."""
+
+
+class Kernel:
+    """Starts services in the order of registration and stops them in reverse."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, Service] = {}
+        self._stop = trio.Event()
+
+    def add(self, svc: Service) -> None:
+        """Register a service. A name may be registered once."""
+        if svc.name in self._services:
+            raise AcaciasaddleError(f"service {svc.name!r} is registered twice", step="kernel.add")
+        self._services[svc.name] = svc
+
+    def find(self, cls: type[S]) -> S:
+        """Return the service registered under the name of ``cls``."""
+        svc = self._services.get(cls.name)
+        if not isinstance(svc, cls):
+            raise AcaciasaddleError(f"service {cls.name!r} does not exist", step="kernel.find")
+        return svc
+
+    def __iter__(self) -> Iterator[Service]:
+        return iter(self._services.values())
+
+    def shutdown(self) -> None:
+        """Ask ``run`` to stop all services and return."""
+        self._stop.set()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run all services until ``shutdown`` is called."""
+        async with trio.open_nursery() as nursery:
+            for svc in self:
+                await nursery.start(svc.run)
+            task_status.started()
+            await self._stop.wait()
+            for svc in reversed(list(self)):
+                await svc.stop()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/acaciasaddle/model/__init__.py
@@ -0,0 +1,43 @@
+"""Data types shared by the packages: units, requests, rows and the interfaces of a request."""
+
+from __future__ import annotations
+
+from acaciasaddle.model._requests import BodySource
+from acaciasaddle.model._requests import Headers
+from acaciasaddle.model._requests import OnceRecord
+from acaciasaddle.model._requests import OnceState
+from acaciasaddle.model._requests import ReplySink
+from acaciasaddle.model._requests import WorkRequest
+from acaciasaddle.model._rows import ConfigRow
+from acaciasaddle.model._rows import HostRow
+from acaciasaddle.model._rows import HostState
+from acaciasaddle.model._rows import PinsRow
+from acaciasaddle.model._rows import Row
+from acaciasaddle.model._rows import UnitAssignment
+from acaciasaddle.model._rows import UnitsRow
+from acaciasaddle.model._rows import UpstreamRow
+from acaciasaddle.model._units import CHUNK_SHARDS
+from acaciasaddle.model._units import UnitId
+from acaciasaddle.model._units import UpstreamId
+from acaciasaddle.model._units import shard_of
+
+__all__ = [
+    "CHUNK_SHARDS",
+    "BodySource",
+    "ConfigRow",
+    "Headers",
+    "HostRow",
+    "HostState",
+    "OnceRecord",
+    "OnceState",
+    "PinsRow",
+    "ReplySink",
+    "Row",
+    "UnitAssignment",
+    "UnitId",
+    "UnitsRow",
+    "UpstreamId",
+    "UpstreamRow",
+    "WorkRequest",
+    "shard_of",
+]
--- /dev/null
+++ b/src/acaciasaddle/model/_requests.py
@@ -0,0 +1,96 @@
+"""A caller's request inside the system, and how its body and answer stream."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from enum import StrEnum
+
+from acaciasaddle.model._units import UnitId
+from acaciasaddle.model._units import UpstreamId
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkRequest:
+    """A classified request.
+
+    ``budget_ms`` is the time left until the deadline when the message was sent; clocks of two
+    hosts are not compared. ``upstream`` is the owner as far as the ingress knows.
+    ``body_length`` is -1 if the length is not known in advance.
+    """
+
+    request_id: str
+    service: str
+    unit: UnitId
+    upstream: UpstreamId
+    key: str
+    kind: str
+    rank: str
+    once: bool
+    bulky: bool
+    caller: str
+    idempotency_key: str
+    method: str
+    target: str
+    headers: Headers
+    body_length: int
+    budget_ms: int
+    attempt: int = 1
+
+
+class OnceState(StrEnum):
+    """State of a request that must run at most once."""
+
+    STARTED = "started"
+    COMPLETED = "completed"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OnceRecord:
+    """What the holder remembers of a request that must run at most once.
+
+    ``body`` is ``None`` if the answer was too large to keep. ``age_ms`` is the time since the
+    record was made, at the moment of sending.
+    """
+
+    unit: UnitId
+    caller: str
+    idempotency_key: str
+    state: OnceState
+    age_ms: int = 0
+    status: int = 0
+    headers: Headers = ()
+    body: bytes | None = None
+
+
+class BodySource(ABC):
+    """The body of a request, read in chunks of at most 64 KiB."""
+
+    @abstractmethod
+    async def receive(self) -> bytes:
+        """Return the next chunk, or ``b""`` at the end. Raises ``PeerError`` if it is cut off."""
+
+
+class ReplySink(ABC):
+    """Takes the answer to a request as it arrives."""
+
+    @abstractmethod
+    async def head(self, status: int, headers: Headers) -> None:
+        """Begin the answer. Called once."""
+
+    @abstractmethod
+    async def data(self, chunk: bytes) -> None:
+        """Send a part of the body; waits while the receiver is slow."""
+
+    @abstractmethod
+    async def end(self) -> None:
+        """Complete the answer. An answer without this call has been cut short."""
+
+    @property
+    @abstractmethod
+    def started(self) -> bool:
+        """Whether ``head`` has been called."""
--- /dev/null
+++ b/src/acaciasaddle/model/_rows.py
@@ -0,0 +1,190 @@
+"""Rows of the platform's table and their typed values."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from acaciasaddle.model._units import UpstreamId
+
+JsonObject = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """One row. ``version`` counts its writes, ``revision`` orders writes of the whole table."""
+
+    key: str
+    version: int
+    revision: int
+    value: JsonObject
+
+    @property
+    def write_id(self) -> str:
+        """Identifier of the write that produced this version."""
+        return str(self.value.get("write_id", ""))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamRow:
+    """Who may order an upstream. ``successor`` is empty if there is none."""
+
+    holder: str
+    successor: str
+    term: int
+
+    def to_json(self, write_id: str) -> dict[str, Any]:
+        """Return the JSON value."""
+        return {
+            "holder": self.holder,
+            "successor": self.successor,
+            "term": self.term,
+            "write_id": write_id,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject) -> UpstreamRow:
+        """Read the JSON value."""
+        return cls(holder=value["holder"], successor=value["successor"], term=int(value["term"]))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnitAssignment:
+    """Owner of a unit. ``previous`` is set until its release by the previous owner is confirmed."""
+
+    owner: str
+    previous: str
+    epoch: int
+
+    @property
+    def owner_id(self) -> UpstreamId:
+        """The owning upstream."""
+        return UpstreamId.parse(self.owner)
+
+    def to_json(self) -> list[Any]:
+        """Return the JSON value."""
+        return [self.owner, self.previous, self.epoch]
+
+    @classmethod
+    def from_json(cls, value: list[Any]) -> UnitAssignment:
+        """Read the JSON value."""
+        return cls(owner=value[0], previous=value[1], epoch=int(value[2]))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnitsRow:
+    """Assignments of up to 64 shards, by shard number, and the group's number of shards."""
+
+    shards: int
+    units: Mapping[int, UnitAssignment]
+
+    def to_json(self, write_id: str) -> dict[str, Any]:
+        """Return the JSON value."""
+        return {
+            "shards": self.shards,
+            "units": {str(shard): unit.to_json() for shard, unit in self.units.items()},
+            "write_id": write_id,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject) -> UnitsRow:
+        """Read the JSON value."""
+        units = {int(k): UnitAssignment.from_json(v) for k, v in value["units"].items()}
+        return cls(shards=int(value["shards"]), units=units)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PinsRow:
+    """Assignments of the pinned keys of a service, by ``group/key``."""
+
+    units: Mapping[str, UnitAssignment]
+
+    def to_json(self, write_id: str) -> dict[str, Any]:
+        """Return the JSON value."""
+        return {
+            "units": {key: unit.to_json() for key, unit in self.units.items()},
+            "write_id": write_id,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject) -> PinsRow:
+        """Read the JSON value."""
+        return cls(units={k: UnitAssignment.from_json(v) for k, v in value["units"].items()})
+
+
+class HostState(StrEnum):
+    """Life cycle of an entry host."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRow:
+    """An entry host. Addresses are ``ip:port``."""
+
+    host_id: str
+    incarnation: str
+    data_centre: str
+    peer_address: str
+    operator_address: str
+    state: HostState
+
+    def to_json(self, write_id: str) -> dict[str, Any]:
+        """Return the JSON value."""
+        return {
+            "host_id": self.host_id,
+            "incarnation": self.incarnation,
+            "data_centre": self.data_centre,
+            "peer_address": self.peer_address,
+            "operator_address": self.operator_address,
+            "state": self.state.value,
+            "write_id": write_id,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject) -> HostRow:
+        """Read the JSON value."""
+        return cls(
+            host_id=value["host_id"],
+            incarnation=value["incarnation"],
+            data_centre=value["data_centre"],
+            peer_address=value["peer_address"],
+            operator_address=value["operator_address"],
+            state=HostState(value["state"]),
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigRow:
+    """The configuration in force. ``inventory`` and ``rules`` are unparsed JSON objects."""
+
+    version: int
+    change_id: str
+    author: str
+    inventory: JsonObject
+    rules: JsonObject
+
+    def to_json(self, write_id: str) -> dict[str, Any]:
+        """Return the JSON value."""
+        return {
+            "version": self.version,
+            "change_id": self.change_id,
+            "author": self.author,
+            "inventory": self.inventory,
+            "rules": self.rules,
+            "write_id": write_id,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject) -> ConfigRow:
+        """Read the JSON value."""
+        return cls(
+            version=int(value["version"]),
+            change_id=value["change_id"],
+            author=value["author"],
+            inventory=value["inventory"],
+            rules=value["rules"],
+        )
--- /dev/null
+++ b/src/acaciasaddle/observe/_logs.py
@@ -0,0 +1,44 @@
+"""Set-up of structlog: one line per event, with a fixed prefix per part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING}
+
+
+def _prefix(_: Any, __: str, event: structlog.types.EventDict) -> structlog.types.EventDict:
+    part = event.pop("part", "")
+    event["event"] = f"[{part}] {event['event']}"
+    return event
+
+
+def configure_logs(*, level: str = "info", json: bool = False, host: str = "") -> None:
+    """Send log lines to standard error, as text or as one JSON object per line."""
+    renderer: Any = (
+        structlog.processors.JSONRenderer()
+        if json
+        else structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"])
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _prefix,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(host=host)
+
+
+def get_logger(part: str) -> Any:
+    """Return a logger whose lines begin with ``[part]``."""
+    return structlog.get_logger(part=part)
--- /dev/null
+++ b/src/acaciasaddle/ownership/_api.py
@@ -0,0 +1,75 @@
+"""Interfaces of authority over upstreams and of routing."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from acaciasaddle.kernel import Service
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UpstreamId
+
+if TYPE_CHECKING:
+    from acaciasaddle.model import OnceRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Permit:
+    """Permission to send one request to an upstream now.
+
+    ``clock_offset_ms`` is what to add to this host's clock in milliseconds to get a reading
+    of the upstream's clock that is not ahead of it. ``address`` is ``ip:port``.
+    """
+
+    term: int
+    address: str
+    slots: int
+    connections: int
+    checks_orders: bool
+    clock_offset_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Where a key is served. ``holder`` and ``successor`` are member ids."""
+
+    unit: UnitId
+    owner: UpstreamId
+    holder: str
+    successor: str
+    epoch: int
+    config_version: int
+
+
+class Authority(Service):
+    """What this host may order and dispatch, as holder of upstreams."""
+
+    name: ClassVar[str] = "authority"
+
+    @abstractmethod
+    def permit(self, upstream: UpstreamId, unit: UnitId) -> Permit:
+        """Return the permission to dispatch; raises ``NotOwnerError``."""
+
+    @abstractmethod
+    async def replicate(self, upstream: UpstreamId, records: tuple[OnceRecord, ...]) -> None:
+        """Copy records to the successor; raises ``AuthorityLostError`` if that fails."""
+
+    @abstractmethod
+    def memory_since(self, upstream: UpstreamId) -> float:
+        """Return the time of day, in seconds, before which records may be missing."""
+
+    @abstractmethod
+    def superseded(self, upstream: UpstreamId, term: int) -> None:
+        """Take note that the upstream refused this host's term in favour of a higher one."""
+
+
+class Router(Service):
+    """Finds the owner of a key and its holder in the mirror."""
+
+    name: ClassVar[str] = "router"
+
+    @abstractmethod
+    def route(self, *, service: str, key: str) -> Route:
+        """Return the route of a key; raises ``RefusedError`` (not run) if there is none."""
