Add HTTP client of the platform and make write_once conclusive

HttpPlatform was an empty class. It now implements the table, the object store and the host list with bare HTTP/1.1 connections of httpcore, a list of idle ones and 2 s per operation. A read on a reused connection that the platform has just closed is repeated once; a timeout also closes the idle connections. A write is unknown from the moment its bytes are handed to a connection.

write_once reported PlatformUnavailableError, which means "did not take effect", when the store failed during the read-back. This is now WriteOutcomeUnknownError. A row whose next version carries another identifier now proves that the write lost, and a write that left no trace is sent once more under the same conditions. Every put needs a condition.

--- a/src/acaciasaddle/platform/_http.py
+++ b/src/acaciasaddle/platform/_http.py
@@ -2,6 +2,297 @@
 
 from __future__ import annotations
 
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+from urllib.parse import quote
 
-class HttpPlatform:
-    """Client of the platform over HTTP."""
+import httpcore
+import trio
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.errors import PlatformUnavailableError
+from acaciasaddle.errors import WriteOutcomeUnknownError
+from acaciasaddle.model import Row
+from acaciasaddle.platform._api import HostEntry
+from acaciasaddle.platform._api import HostList
+from acaciasaddle.platform._api import ObjectStore
+from acaciasaddle.platform._api import Scan
+from acaciasaddle.platform._api import Table
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from acaciasaddle.model._rows import JsonObject
+
+DEFAULT_TIMEOUT_S = 2.0
+"""Time for one operation, with waiting for a connection and connecting."""
+MAX_CONNECTIONS = 32
+"""Bounds the operations in progress while the platform is slow; others wait in line."""
+MAX_IDLE_CONNECTIONS = 8
+IDLE_EXPIRY_S = 30.0
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class _Committed:
+    revision: int
+    versions: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class _FailedRow:
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Failed:
+    failed: list[_FailedRow | str]
+
+
+@dataclass(frozen=True, slots=True)
+class _HostItem:
+    id: str
+    data_centre: str
+    address: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+_ROW: TypeAdapter[Row] = TypeAdapter(Row)
+_SCAN: TypeAdapter[Scan] = TypeAdapter(Scan)
+_COMMITTED: TypeAdapter[_Committed] = TypeAdapter(_Committed)
+_FAILED: TypeAdapter[_Failed] = TypeAdapter(_Failed)
+_HOSTS: TypeAdapter[list[_HostItem]] = TypeAdapter(list[_HostItem])
+
+
+class _Exchange:
+    """One request and what is known about it when it fails."""
+
+    def __init__(self) -> None:
+        self.sent = False
+        self.reused = False
+
+
+class HttpPlatform(Table, ObjectStore, HostList):
+    """Client of the platform over HTTP.
+
+    Connections are bare HTTP/1.1 connections in a small list of idle ones, since httpcore's pool
+    costs more than the exchange itself. After a timeout the idle connections are closed as well:
+    open connections may have gone silent while new ones work.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        network: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        """``address`` is the platform's ``ip:port``."""
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._host = host.strip("[]")
+        self._origin = httpcore.Origin(b"http", self._host.encode(), int(port))
+        self._timeout_s = timeout_s
+        self._network = network or httpcore.TrioBackend()
+        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+        self._limit = trio.CapacityLimiter(MAX_CONNECTIONS)
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def read(self, key: str) -> Row | None:
+        answer = await self._read("table.read", f"/rows/{quote(key, safe='/')}")
+        if answer.status == 404:
+            return None
+        return self._parse(_ROW, answer, step="table.read")
+
+    async def scan(self, prefix: str, *, since: int) -> Scan:
+        target = f"/rows?prefix={quote(prefix, safe='')}&since={since}"
+        answer = await self._read("table.scan", target)
+        return self._parse(_SCAN, answer, step="table.scan")
+
+    async def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> tuple[Row, ...]:
+        step = "table.transact"
+        body = json.dumps({"conditions": dict(conditions), "puts": dict(puts)}).encode()
+        answer = await self._write(step, "POST", "/transactions", body, "application/json")
+        if answer.status == 409:
+            try:
+                failed = _FAILED.validate_json(answer.body).failed
+            except ValidationError:
+                failed = []
+            keys = tuple(row if isinstance(row, str) else row.key for row in failed)
+            raise ConditionFailedError(
+                f"rows have other versions than expected: {', '.join(keys) or 'not named'}",
+                keys=keys,
+                step=step,
+                peer=self._address,
+            )
+        try:
+            done = _COMMITTED.validate_json(answer.body)
+            return tuple(
+                Row(key=key, version=done.versions[key], revision=done.revision, value=value)
+                for key, value in puts.items()
+            )
+        except (ValidationError, KeyError) as exc:
+            raise self._unknown(step, f"malformed answer: {_brief(exc)}") from exc
+
+    async def get(self, name: str) -> bytes | None:
+        answer = await self._read("object.get", f"/objects/{quote(name, safe='/')}")
+        return None if answer.status == 404 else answer.body
+
+    async def put(self, name: str, data: bytes) -> None:
+        target = f"/objects/{quote(name, safe='/')}"
+        answer = await self._write("object.put", "PUT", target, data, "application/octet-stream")
+        if answer.status == 409:
+            raise ConditionFailedError(
+                f"object {name!r} was not replaced",
+                keys=(name,),
+                step="object.put",
+                peer=self._address,
+            )
+
+    async def hosts(self) -> tuple[HostEntry, ...]:
+        answer = await self._read("hosts.list", "/hosts")
+        items = self._parse(_HOSTS, answer, step="hosts.list")
+        return tuple(
+            HostEntry(
+                host_id=item.id,
+                data_centre=item.data_centre,
+                address=item.address,
+                state=item.state,
+            )
+            for item in items
+        )
+
+    async def _read(self, step: str, target: str) -> _Answer:
+        """Return an answer with status 200, or 404 where it stands for an absent row or object."""
+        exchange = _Exchange()
+        try:
+            with trio.fail_after(self._timeout_s):
+                try:
+                    answer = await self._exchange(exchange, "GET", target, b"", "")
+                except (httpcore.NetworkError, httpcore.RemoteProtocolError):
+                    if not exchange.reused:
+                        raise
+                    # The platform may close a connection just as it is taken from the idle list.
+                    # A read may be repeated.
+                    await self.aclose()
+                    answer = await self._exchange(_Exchange(), "GET", target, b"", "")
+        except (trio.TooSlowError, httpcore.TimeoutException) as exc:
+            await self.aclose()
+            raise self._unavailable(step, f"no answer within {self._timeout_s:g} s") from exc
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            raise self._unavailable(step, _brief(exc)) from exc
+        absent = answer.status == 404 and step in ("table.read", "object.get")
+        if answer.status != 200 and not absent:
+            raise self._unavailable(step, f"answered with status {answer.status}")
+        return answer
+
+    async def _write(
+        self, step: str, method: str, target: str, body: bytes, media_type: str
+    ) -> _Answer:
+        """Return an answer with a status of success or 409."""
+        exchange = _Exchange()
+        try:
+            with trio.fail_after(self._timeout_s):
+                answer = await self._exchange(exchange, method, target, body, media_type)
+        except (trio.TooSlowError, httpcore.TimeoutException) as exc:
+            await self.aclose()
+            reason = f"no answer within {self._timeout_s:g} s"
+            if exchange.sent:
+                raise self._unknown(step, reason) from exc
+            raise self._unavailable(step, reason) from exc
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            if exchange.sent:
+                raise self._unknown(step, _brief(exc)) from exc
+            raise self._unavailable(step, _brief(exc)) from exc
+        if 200 <= answer.status < 300 or answer.status == 409:
+            return answer
+        reason = f"answered with status {answer.status}"
+        # A 4xx status refuses the request and 503 says that the store did not take it. Any other
+        # status, such as 500 or 502, may come from a part that failed after the write.
+        if 400 <= answer.status < 500 or answer.status == 503:
+            raise self._unavailable(step, reason)
+        raise self._unknown(step, reason)
+
+    async def _exchange(
+        self, exchange: _Exchange, method: str, target: str, body: bytes, media_type: str
+    ) -> _Answer:
+        headers = [("Host", self._address)]
+        if method != "GET":
+            headers += [("Content-Type", media_type), ("Content-Length", str(len(body)))]
+        url = httpcore.URL(
+            scheme=b"http", host=self._origin.host, port=self._origin.port, target=target
+        )
+        req = httpcore.Request(method, url, headers=headers, content=body)
+        async with self._limit:
+            conn = await self._connection(exchange)
+            try:
+                exchange.sent = True
+                resp = await conn.handle_async_request(req)
+                content = await resp.aread()
+                await resp.aclose()
+            except BaseException:
+                with trio.CancelScope(shield=True):
+                    await conn.aclose()
+                raise
+            if conn.is_idle() and len(self._idle) < MAX_IDLE_CONNECTIONS:
+                self._idle.append(conn)
+            else:
+                await conn.aclose()
+        return _Answer(status=resp.status, body=content)
+
+    async def _connection(self, exchange: _Exchange) -> httpcore.AsyncHTTP11Connection:
+        while self._idle:
+            # The last used first, so that surplus connections expire.
+            conn = self._idle.pop()
+            if not conn.has_expired():
+                exchange.reused = True
+                return conn
+            await conn.aclose()
+        stream = await self._network.connect_tcp(
+            self._host, self._origin.port, timeout=self._timeout_s
+        )
+        return httpcore.AsyncHTTP11Connection(
+            origin=self._origin, stream=stream, keepalive_expiry=IDLE_EXPIRY_S
+        )
+
+    def _parse(self, adapter: TypeAdapter[T], answer: _Answer, *, step: str) -> T:
+        try:
+            return adapter.validate_json(answer.body)
+        except ValidationError as exc:
+            raise self._unavailable(step, f"malformed answer: {_brief(exc)}") from exc
+
+    def _unavailable(self, step: str, reason: str) -> PlatformUnavailableError:
+        return PlatformUnavailableError(
+            f"the platform is not available: {reason}", step=step, peer=self._address
+        )
+
+    def _unknown(self, step: str, reason: str) -> WriteOutcomeUnknownError:
+        return WriteOutcomeUnknownError(
+            f"the write may or may not have taken effect: {reason}", step=step, peer=self._address
+        )
+
+
+def _brief(exc: Exception) -> str:
+    if isinstance(exc, ValidationError):
+        first: Any = exc.errors(include_url=False)[0]
+        path = ".".join(str(part) for part in first["loc"])
+        return f"{path}: {first['msg']}" if path else str(first["msg"])
+    return str(exc) or type(exc).__name__
--- a/src/acaciasaddle/platform/_writes.py
+++ b/src/acaciasaddle/platform/_writes.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.model import Row
 
@@ -17,10 +19,16 @@
 
 Puts = Mapping[str, Callable[[str], dict[str, Any]]]
 
+ATTEMPTS = 2
+"""Sends of one transaction. A repeat is safe, because it carries the same conditions."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WriteResult:
-    """Rows as written. ``read_back`` is true if the answer was lost and the rows were re-read."""
+    """Rows as written. ``read_back`` is true if the answer was lost and the rows were re-read.
+
+    Rows read back may already carry later writes of others.
+    """
 
     write_id: str
     rows: tuple[Row, ...]
@@ -30,23 +38,73 @@
 async def write_once(table: Table, *, conditions: Mapping[str, int], puts: Puts) -> WriteResult:
     """Write rows in one transaction and find out whether it took effect.
 
-    ``puts`` maps each key to a function that builds the value from the write identifier. If the
-    answer is lost, the rows are read back: a row that carries this write's identifier proves
-    that the transaction committed. If no row does, the outcome stays unknown, since the write
-    may still be on its way or may have been overwritten; ``WriteOutcomeUnknownError`` is raised.
+    ``puts`` maps each key to a function that builds the value from the write identifier. Every
+    key that is put needs a condition.
+
+    If the answer is lost, the rows are read back. A row that carries this write's identifier
+    proves that the transaction committed. A row whose next version carries another identifier
+    proves that it did not and never will: ``ConditionFailedError``. If no row has changed, the
+    write may still be on its way; the same transaction is sent again, and at most one of the two
+    commits. ``WriteOutcomeUnknownError`` is raised if the outcome is still not known then, and
+    also if the rows cannot be read back. ``PlatformUnavailableError`` is raised only if the write
+    surely did not take effect.
     """
+    if unconditional := puts.keys() - conditions.keys():
+        raise ValueError(f"writes without a condition: {', '.join(sorted(unconditional))}")
     write_id = str(uuid.uuid4())
     values = {key: build(write_id) for key, build in puts.items()}
+    for attempt in range(1, ATTEMPTS + 1):
+        try:
+            rows = await table.transact(conditions=conditions, puts=values)
+            return WriteResult(write_id=write_id, rows=rows, read_back=False)
+        except WriteOutcomeUnknownError as exc:
+            lost: Exception = exc
+        except (ConditionFailedError, PlatformUnavailableError) as exc:
+            if attempt == 1:
+                raise
+            # The first attempt may have committed, or may still be on its way.
+            lost = exc
+        found = await _read_back(table, conditions, values, write_id, lost)
+        if found is not None:
+            return WriteResult(write_id=write_id, rows=found, read_back=True)
+    raise _unknown("no row carries the write's identifier", lost)
+
+
+async def _read_back(
+    table: Table,
+    conditions: Mapping[str, int],
+    values: Mapping[str, dict[str, Any]],
+    write_id: str,
+    lost: Exception,
+) -> tuple[Row, ...] | None:
+    """Return the rows if the write committed and ``None`` if that is not known."""
     try:
-        rows = await table.transact(conditions=conditions, puts=values)
-    except WriteOutcomeUnknownError as exc:
-        found = [await table.read(key) for key in puts]
-        if any(row is not None and row.write_id == write_id for row in found):
-            present = tuple(row for row in found if row is not None)
-            return WriteResult(write_id=write_id, rows=present, read_back=True)
-        raise WriteOutcomeUnknownError(
-            "the write's answer was lost and no row carries its identifier",
+        found = [await table.read(key) for key in values]
+    except PlatformUnavailableError as exc:
+        raise _unknown("the rows cannot be read back", exc) from lost
+    present = tuple(row for row in found if row is not None)
+    if any(row.write_id == write_id for row in present):
+        return present
+    overtaken = tuple(row.key for row in present if row.version == conditions[row.key] + 1)
+    if overtaken:
+        raise ConditionFailedError(
+            f"another write came first: {', '.join(overtaken)}",
+            keys=overtaken,
             step="table.read_back",
-            peer=exc.peer,
-        ) from exc
-    return WriteResult(write_id=write_id, rows=rows, read_back=False)
+            peer=getattr(lost, "peer", ""),
+        ) from lost
+    # Versions only grow: a condition that failed once keeps every attempt from committing, and a
+    # row at its expected version shows that none had committed before.
+    versions = {row.key: row.version for row in present}
+    unchanged = any(versions.get(key, 0) == conditions[key] for key in values)
+    if isinstance(lost, ConditionFailedError) and unchanged:
+        raise lost
+    return None
+
+
+def _unknown(reason: str, cause: Exception) -> WriteOutcomeUnknownError:
+    return WriteOutcomeUnknownError(
+        f"the write's answer was lost and {reason}",
+        step="table.read_back",
+        peer=getattr(cause, "peer", ""),
+    )
