--- /dev/null
+++ b/src/acaciasaddle/emulator/_asgi.py
@@ -0,0 +1,196 @@
+"""Base of the ASGI applications and one HTTP exchange of them."""
+
+from __future__ import annotations
+
+import json
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qsl
+
+import pydantic
+
+from acaciasaddle.errors import AcaciasaddleError
+from acaciasaddle.errors import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Mapping
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+MAX_JSON_BYTES = 16 * 1024 * 1024
+MAX_DISCARDED_BYTES = 256 * 1024
+STATUS_PROCESSING = 102
+
+
+class BodyCutError(AcaciasaddleError):
+    """The connection ended before the request's body was complete."""
+
+
+class Exchange:
+    """One HTTP request and its answer."""
+
+    def __init__(self, *, scope: Scope, receive: Receive, send: Send) -> None:
+        self._receive = receive
+        self._send = send
+        self._body_done = False
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        query = str(scope["query_string"], "latin-1")
+        self.target = str(scope["raw_path"], "latin-1") + (f"?{query}" if query else "")
+        self.query = dict(parse_qsl(query, keep_blank_values=True))
+        self.client: tuple[str, int] | None = scope["client"]
+        self._headers: dict[str, str] = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.answered = False
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty string."""
+        return self._headers.get(name.lower(), "")
+
+    def number(self, name: str, default: float) -> float:
+        """Return a numeric query parameter; raises ``RequestError``."""
+        text = self.query.get(name)
+        if text is None:
+            return default
+        try:
+            return float(text)
+        except ValueError:
+            raise RequestError(
+                f"query parameter {name!r} is not a number: {text!r}",
+                status=400,
+                step="emulator.query",
+            ) from None
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raises ``BodyCutError``."""
+        while not self._body_done:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise BodyCutError("the body is incomplete", step="emulator.body")
+            self._body_done = not message.get("more_body", False)
+            if message.get("body"):
+                yield message["body"]
+
+    async def body(self) -> bytes:
+        """Return the whole body; raises ``RequestError`` if it is too long."""
+        data = bytearray()
+        async for chunk in self.chunks():
+            data += chunk
+            if len(data) > MAX_JSON_BYTES:
+                raise RequestError("body is too long", status=413, step="emulator.body")
+        return bytes(data)
+
+    async def discard(self) -> None:
+        """Read the rest of a short body, so that the connection stays usable after a refusal."""
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > MAX_DISCARDED_BYTES:
+                return
+
+    async def disconnected(self) -> None:
+        """Wait until the connection ends. Use it only after the body has been read."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Begin the answer."""
+        self.answered = True
+        raw = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+        await self._send({"type": "http.response.start", "status": status, "headers": raw})
+
+    async def data(self, chunk: bytes, *, more: bool) -> None:
+        """Send a part of the answer's body."""
+        await self._send({"type": "http.response.body", "body": chunk, "more_body": more})
+
+    async def answer(
+        self, status: int, data: bytes, *, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        await self.start(status, {"content-length": str(len(data)), **(headers or {})})
+        await self.data(data, more=False)
+
+    async def answer_json(
+        self, status: int, value: Any, *, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole answer in JSON."""
+        merged = {"content-type": "application/json", **(headers or {})}
+        await self.answer(status, json.dumps(value).encode(), headers=merged)
+
+    async def close_without_answer(self) -> None:
+        """Close the connection without an answer, once the application has returned.
+
+        ASGI has no message for this. Hypercorn closes a connection whose application returns
+        after an informational response, which clients skip.
+        """
+        self.answered = True
+        await self._send(
+            {"type": "http.response.start", "status": STATUS_PROCESSING, "headers": []}
+        )
+
+
+class AsgiApp(ABC):
+    """An ASGI application. Errors in a request are answered as problem details."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "lifespan":
+            await self._lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._http(Exchange(scope=scope, receive=receive, send=send))
+
+    async def _lifespan(self, receive: Receive, send: Send) -> None:
+        while True:
+            message = await receive()
+            if message["type"] == "lifespan.startup":
+                await send({"type": "lifespan.startup.complete"})
+            elif message["type"] == "lifespan.shutdown":
+                await self.shut_down()
+                await send({"type": "lifespan.shutdown.complete"})
+                return
+
+    async def _http(self, exchange: Exchange) -> None:
+        try:
+            await self.handle(exchange)
+        except RequestError as exc:
+            await self._problem(exchange, exc.status, str(exc))
+        except pydantic.ValidationError as exc:
+            findings = "; ".join(
+                f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
+                for item in exc.errors(include_url=False)
+            )
+            await self._problem(exchange, 400, findings)
+        except BodyCutError:
+            return
+
+    @staticmethod
+    async def _problem(exchange: Exchange, status: int, detail: str) -> None:
+        await exchange.answer_json(
+            status,
+            {"title": "invalid request", "status": status, "detail": detail},
+            headers={"content-type": "application/problem+json"},
+        )
+
+    @abstractmethod
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer a request. Raises ``RequestError``."""
+
+    async def shut_down(self) -> None:  # noqa: B027
+        """Called when the server has stopped."""
+
+
+def not_found(exchange: Exchange) -> RequestError:
+    """Return the error for an unknown path."""
+    return RequestError(
+        f"{exchange.method} {exchange.path} does not exist", status=404, step="emulator.route"
+    )
--- /dev/null
+++ b/src/acaciasaddle/emulator/_store.py
@@ -0,0 +1,146 @@
+"""The platform's table without HTTP, and a client of it for tests in one process."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import trio
+
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.errors import PlatformUnavailableError
+from acaciasaddle.errors import WriteOutcomeUnknownError
+from acaciasaddle.model import Row
+from acaciasaddle.platform import Scan
+from acaciasaddle.platform import Table
+
+JsonObject = Mapping[str, Any]
+
+
+class StoreState(StrEnum):
+    """Condition of the store."""
+
+    UP = "up"
+    DOWN = "down"
+    SLOW = "slow"
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """Faults of the store that are switched on.
+
+    ``lose_answers`` counts the coming transactions that take effect but are not answered.
+    """
+
+    store: StoreState = StoreState.UP
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+
+    @property
+    def half_delay_s(self) -> float:
+        """Delay before and again after an operation takes effect, in seconds.
+
+        A client that gives up early then meets writes of both sorts: those that have taken
+        effect and those that still will.
+        """
+        return self.delay_ms / 2000 if self.store is StoreState.SLOW else 0.0
+
+    def loses_answer(self) -> bool:
+        """Return whether the answer to the transaction that just took effect is lost."""
+        if self.lose_answers <= 0:
+            return False
+        self.lose_answers -= 1
+        return True
+
+
+class TableStore:
+    """Rows, their versions, and the table's revision."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._rows: dict[str, Row] = {}
+
+    def read(self, key: str) -> Row | None:
+        """Return a row, or ``None``."""
+        return self._rows.get(key)
+
+    def scan(self, prefix: str, *, since: int) -> tuple[Row, ...]:
+        """Return rows below a prefix with a revision greater than ``since``, by revision."""
+        found = [
+            row
+            for key, row in self._rows.items()
+            if row.revision > since and key.startswith(prefix)
+        ]
+        return tuple(sorted(found, key=lambda row: (row.revision, row.key)))
+
+    def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> tuple[Row, ...]:
+        """Write all rows or none; raises ``ConditionFailedError``.
+
+        Every put needs a condition; ``ValueError`` is raised if one has none.
+        """
+        unconditional = sorted(set(puts) - set(conditions))
+        if unconditional:
+            raise ValueError(f"no condition for {', '.join(unconditional)}")
+        failed = tuple(key for key, version in conditions.items() if self._version(key) != version)
+        if failed:
+            raise ConditionFailedError(
+                f"other versions than expected of {', '.join(failed)}",
+                keys=failed,
+                step="table.transact",
+            )
+        self.revision += 1
+        for key, value in puts.items():
+            self._rows[key] = Row(
+                key=key, version=self._version(key) + 1, revision=self.revision, value=value
+            )
+        return tuple(self._rows[key] for key in puts)
+
+    def _version(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row is not None else 0
+
+
+class MemoryTable(Table):
+    """A ``Table`` over a ``TableStore`` in the same process, with the same faults as over HTTP.
+
+    Several instances with faults of their own may share a store: hosts of which one is cut off.
+    """
+
+    def __init__(self, *, store: TableStore, faults: StoreFaults | None = None) -> None:
+        self.store = store
+        self.faults = faults if faults is not None else StoreFaults()
+
+    async def read(self, key: str) -> Row | None:
+        await self._before("table.read")
+        row = self.store.read(key)
+        await trio.sleep(self.faults.half_delay_s)
+        return row
+
+    async def scan(self, prefix: str, *, since: int) -> Scan:
+        await self._before("table.scan")
+        scan = Scan(revision=self.store.revision, rows=self.store.scan(prefix, since=since))
+        await trio.sleep(self.faults.half_delay_s)
+        return scan
+
+    async def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> tuple[Row, ...]:
+        await self._before("table.transact")
+        # Values pass through JSON, as over HTTP, so that no caller shares a mutable value.
+        copied = {key: json.loads(json.dumps(value)) for key, value in puts.items()}
+        rows = self.store.transact(conditions=conditions, puts=copied)
+        lost = self.faults.loses_answer()
+        await trio.sleep(self.faults.half_delay_s)
+        if lost:
+            raise WriteOutcomeUnknownError("the answer was lost", step="table.transact")
+        return rows
+
+    async def _before(self, step: str) -> None:
+        await trio.sleep(self.faults.half_delay_s)
+        if self.faults.store is StoreState.DOWN:
+            raise PlatformUnavailableError("the store is down", step=step)
--- /dev/null
+++ b/src/acaciasaddle/emulator/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command ``acaciasaddle-emulator``."""
+
+from __future__ import annotations
+
+from acaciasaddle.emulator.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/acaciasaddle/emulator/cli/_main.py
@@ -0,0 +1,19 @@
+"""Command group."""
+
+from __future__ import annotations
+
+import click
+
+from acaciasaddle.emulator.cli._platform import platform
+from acaciasaddle.observe import configure_logs
+
+
+@click.group()
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning"]), default="info")
+@click.option("--log-json", is_flag=True, help="Write log lines as JSON objects.")
+def main(log_level: str, log_json: bool) -> None:
+    """Stand-ins of the outside systems, and a load tool."""
+    configure_logs(level=log_level, json=log_json)
+
+
+main.add_command(platform)
