--- a/src/acaciasaddle/emulator/_asgi.py
+++ b/src/acaciasaddle/emulator/_asgi.py
@@ -48,6 +48,7 @@
         self.target = str(scope["raw_path"], "latin-1") + (f"?{query}" if query else "")
         self.query = dict(parse_qsl(query, keep_blank_values=True))
         self.client: tuple[str, int] | None = scope["client"]
+        self.server: tuple[str, int] | None = scope["server"]
         self._headers: dict[str, str] = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in scope["headers"]
--- /dev/null
+++ b/src/acaciasaddle/emulator/_ownership_log.py
@@ -0,0 +1,102 @@
+"""The units that an upstream owns by grant, now and before."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from acaciasaddle.emulator._records import OwnedRecord
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Owned:
+    holder: str
+    term: int
+    from_ms: float
+    excluded: tuple[str, ...]
+
+
+class OwnershipLog:
+    """Owned units and the record of all former ownership.
+
+    All times are readings of the upstream's clock in milliseconds. ``offset_ms`` is what that
+    clock is ahead of CLOCK_BOOTTIME.
+    """
+
+    def __init__(self, *, offset_ms: float) -> None:
+        self.valid_until = 0.0
+        self._offset_ms = offset_ms
+        self._owned: dict[str, _Owned] = {}
+        self._past: list[OwnedRecord] = []
+
+    @property
+    def units(self) -> tuple[str, ...]:
+        """The granted units, whether or not the lease has expired."""
+        return tuple(self._owned)
+
+    def owns(self, unit: str) -> bool:
+        """Return whether a unit is granted, whether or not the lease has expired."""
+        return unit in self._owned
+
+    def excludes(self, unit: str, key: str) -> bool:
+        """Return whether a pinned key is taken out of a granted shard."""
+        owned = self._owned.get(unit)
+        return owned is not None and pin_of(unit, key) in owned.excluded
+
+    def expire(self, now: float) -> None:
+        """Forget all units if the lease has ended."""
+        if self._owned and now >= self.valid_until:
+            for unit in tuple(self._owned):
+                self._close(unit, self.valid_until)
+
+    def replace(
+        self,
+        *,
+        units: tuple[str, ...],
+        excluded: tuple[str, ...],
+        holder: str,
+        term: int,
+        now: float,
+    ) -> None:
+        """Own exactly these units from now on."""
+        wanted = {unit: _excluded_from(unit, excluded) for unit in units}
+        for unit, owned in tuple(self._owned.items()):
+            if wanted.get(unit) != owned.excluded:
+                self._close(unit, now)
+        for unit, keys in wanted.items():
+            if unit not in self._owned:
+                self._owned[unit] = _Owned(holder=holder, term=term, from_ms=now, excluded=keys)
+
+    def record(self) -> tuple[OwnedRecord, ...]:
+        """Return all ownership, past and present."""
+        present = (self._record(unit, self.valid_until) for unit in self._owned)
+        return (*self._past, *present)
+
+    def _close(self, unit: str, until: float) -> None:
+        self._past.append(self._record(unit, until))
+        del self._owned[unit]
+
+    def _record(self, unit: str, until: float) -> OwnedRecord:
+        owned = self._owned[unit]
+        return OwnedRecord(
+            unit=unit,
+            holder=owned.holder,
+            term=owned.term,
+            from_ms=owned.from_ms,
+            until_ms=until,
+            boot_from_ms=owned.from_ms - self._offset_ms,
+            boot_until_ms=until - self._offset_ms,
+            excluded=owned.excluded,
+        )
+
+
+def pin_of(unit: str, key: str) -> str:
+    """Return the id of the unit that a key of a shard has when it is pinned."""
+    service, group, _ = unit.split("/", 2)
+    return f"{service}/{group}/key:{key}"
+
+
+def _excluded_from(unit: str, excluded: tuple[str, ...]) -> tuple[str, ...]:
+    prefix = pin_of(unit, "")
+    if unit.startswith(prefix):
+        return ()
+    return tuple(sorted(pin for pin in excluded if pin.startswith(prefix)))
--- a/src/acaciasaddle/emulator/_serve.py
+++ b/src/acaciasaddle/emulator/_serve.py
@@ -20,8 +20,8 @@
 
     from acaciasaddle.emulator._asgi import AsgiApp
 
-KEEP_ALIVE_S = 3600.0
-"""Long, so that no client loses a request to a connection that is just being closed."""
+KEEP_ALIVE_S = 60.0
+"""Hypercorn keeps a connection that its client closed before the first request for this time."""
 
 LISTEN_BACKLOG = 1024
 
--- /dev/null
+++ b/src/acaciasaddle/emulator/_upstream_app.py
@@ -0,0 +1,216 @@
+"""Upstream stand-in over HTTP."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+import trio
+from pydantic import TypeAdapter
+
+from acaciasaddle.emulator._asgi import AsgiApp
+from acaciasaddle.emulator._asgi import not_found
+from acaciasaddle.emulator._connections import exceeds
+from acaciasaddle.emulator._upstream_types import CancelResult
+from acaciasaddle.emulator._upstream_types import GrantOrder
+from acaciasaddle.emulator._upstream_types import UpstreamFaultOrder
+from acaciasaddle.emulator._upstream_types import UpstreamState
+from acaciasaddle.emulator._upstream_types import Work
+from acaciasaddle.emulator._upstream_types import WorkRefusedError
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import RequestError
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Mapping
+
+    from acaciasaddle.emulator._asgi import Exchange
+    from acaciasaddle.emulator._upstream_model import UpstreamModel
+    from acaciasaddle.emulator._upstream_types import WorkAnswer
+
+log = get_logger("upstream-stand-in")
+
+CHUNK_BYTES = 64 * 1024
+PROBLEM = {"content-type": "application/problem+json"}
+
+GRANT_ORDER = TypeAdapter(GrantOrder)
+FAULT_ORDER = TypeAdapter(UpstreamFaultOrder)
+
+
+class UpstreamApp(AsgiApp):
+    """ASGI application of an upstream stand-in. All paths but the protocol's own are work."""
+
+    def __init__(self, *, model: UpstreamModel) -> None:
+        self.model = model
+        self._connections: dict[tuple[str, int], bool] = {}
+        self._silent: set[tuple[str, int]] = set()
+
+    async def handle(self, exchange: Exchange) -> None:
+        # Faults and the record stay reachable, whatever else is broken.
+        if exchange.path == "/faults" and exchange.method == "POST":
+            await self._order_faults(exchange)
+            return
+        if exchange.path == "/record" and exchange.method == "GET":
+            await exchange.answer_json(200, asdict(self.model.record()))
+            return
+        await self.model.thawed()
+        if exchange.client in self._silent:
+            await exchange.disconnected()
+            return
+        if await self._is_over_limit(exchange):
+            await self._refuse(exchange, 503, "too many connections", close=True)
+            return
+        await self._route(exchange)
+
+    async def _route(self, exchange: Exchange) -> None:
+        method, path = exchange.method, exchange.path
+        if path == "/grant" and method == "POST":
+            await self._grant(exchange)
+        elif path == "/health" and method == "GET":
+            state = self.model.lagging_sample().state
+            status = 503 if state is UpstreamState.LEAVING else 200
+            await self._answer(exchange, status, {"state": state.value})
+        elif path == "/load" and method == "GET":
+            sample = self.model.lagging_sample()
+            slots = self.model.settings.slots
+            await self._answer(
+                exchange, 200, {"busy": sample.busy, "queued": sample.queued, "slots": slots}
+            )
+        elif path.startswith("/requests/") and method == "DELETE":
+            result = self.model.cancel(path.removeprefix("/requests/"))
+            status = 404 if result is CancelResult.ABSENT else 200
+            await self._answer(exchange, status, {"result": result.value})
+        else:
+            await self._work(exchange)
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        status: int,
+        value: Mapping[str, object],
+        *,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        await self.model.thawed()
+        await exchange.answer_json(status, value, headers=headers)
+
+    async def _grant(self, exchange: Exchange) -> None:
+        if not self.model.settings.checks_orders:
+            raise not_found(exchange)
+        order = GRANT_ORDER.validate_json(await exchange.body())
+        await self.model.thawed()
+        reply = self.model.grant(order)
+        await self._answer(exchange, 200 if reply.accepted else 409, asdict(reply.state))
+
+    async def _order_faults(self, exchange: Exchange) -> None:
+        order = FAULT_ORDER.validate_json(await exchange.body())
+        self.model.order_faults(order)
+        if order.silence_connections:
+            self._silent.update(self._connections)
+        log.info("Faults set", upstream=self.model.settings.name, order=str(order))
+        await exchange.answer_json(200, asdict(self.model.faults))
+
+    async def _is_over_limit(self, exchange: Exchange) -> bool:
+        """Return whether a request came over a new connection beyond the limit."""
+        client, server = exchange.client, exchange.server
+        if client is None or server is None or client in self._connections:
+            return False
+        settings = self.model.settings
+        if exceeds(settings.connections, server):
+            return True
+        self._connections[client] = True
+        if len(self._connections) > 8 * settings.connections:
+            del self._connections[next(iter(self._connections))]
+        await trio.sleep(settings.connect_ms / 1000)
+        return False
+
+    async def _work(self, exchange: Exchange) -> None:
+        work = self._parse(exchange)
+        reply_bytes = int(exchange.number("reply_bytes", 0))
+        cut_after = int(exchange.number("cut_after", -1))
+        try:
+            answer = await self.model.work(work, exchange.chunks())
+        except WorkRefusedError as exc:
+            await self._refuse(exchange, exc.status, str(exc), outcome=exc.outcome)
+            return
+        await self.model.thawed()
+        await _send_answer(exchange, answer, reply_bytes=reply_bytes, cut_after=cut_after)
+
+    def _parse(self, exchange: Exchange) -> Work:
+        deadline = _number(exchange, "Acaciasaddle-Deadline")
+        timeout = _number(exchange, "Acaciasaddle-Timeout")
+        if deadline is None and timeout is not None:
+            deadline = self.model.clock_ms() + timeout
+        term = _number(exchange, "Acaciasaddle-Term")
+        return Work(
+            request_id=exchange.header("Acaciasaddle-Request-Id"),
+            key=exchange.header("Acaciasaddle-Key"),
+            unit=exchange.header("Acaciasaddle-Unit"),
+            term=None if term is None else int(term),
+            deadline=deadline,
+            idempotency_key=exchange.header("Idempotency-Key"),
+            method=exchange.method,
+            target=exchange.target,
+            work_ms=exchange.number("work_ms", -1) if "work_ms" in exchange.query else None,
+        )
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: str,
+        *,
+        outcome: Outcome = Outcome.NOT_RUN,
+        close: bool = False,
+    ) -> None:
+        headers = {**PROBLEM, "acaciasaddle-outcome": outcome.value}
+        headers["acaciasaddle-term"] = str(self.model.term)
+        if close:
+            headers["connection"] = "close"
+        if status == 503:
+            headers["retry-after"] = "1"
+        await exchange.discard()
+        value = {"title": reason, "status": status, "outcome": outcome.value}
+        await self._answer(exchange, status, value, headers=headers)
+
+
+async def _send_answer(
+    exchange: Exchange, answer: WorkAnswer, *, reply_bytes: int, cut_after: int
+) -> None:
+    """Send an answer of at least ``reply_bytes``, or only its first ``cut_after`` bytes."""
+    head, tail = json.dumps({**asdict(answer), "padding": ""}).encode(), b""
+    filler = max(0, reply_bytes - len(head))
+    head, tail = head[:-2], head[-2:]
+    length = len(head) + filler + len(tail)
+    await exchange.start(200, {"content-type": "application/json", "content-length": str(length)})
+    left = cut_after if cut_after >= 0 else length
+    async for chunk in _parts(head, filler, tail):
+        if left <= 0:
+            return
+        await exchange.data(chunk[:left], more=True)
+        left -= len(chunk)
+    if cut_after < 0 or cut_after >= length:
+        await exchange.data(b"", more=False)
+
+
+async def _parts(head: bytes, filler: int, tail: bytes) -> AsyncIterator[bytes]:
+    yield head
+    while filler > 0:
+        size = min(filler, CHUNK_BYTES)
+        yield b"." * size
+        filler -= size
+    yield tail
+
+
+def _number(exchange: Exchange, name: str) -> float | None:
+    text = exchange.header(name)
+    if not text:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        raise RequestError(
+            f"header {name} is not a number: {text!r}", status=400, step="emulator.header"
+        ) from None
--- /dev/null
+++ b/src/acaciasaddle/emulator/_upstream_types.py
@@ -0,0 +1,176 @@
+"""Orders to an upstream stand-in and its answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from pydantic import ConfigDict
+
+from acaciasaddle.errors import UpstreamError
+
+if TYPE_CHECKING:
+    from acaciasaddle.errors import Outcome
+
+
+class UpstreamState(StrEnum):
+    """Life cycle of an upstream."""
+
+    READY = "ready"
+    COLD = "cold"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamSettings:
+    """Settings of an upstream stand-in. Times are milliseconds.
+
+    ``queue`` is the number of requests that may wait for a slot. ``work_ms`` is the service time
+    of requests without the query parameter ``work_ms``. For ``cold_ms`` after the start, service
+    times are multiplied by ``cold_factor``. ``lag_ms`` is the age of health and load answers.
+    ``leave_grace_ms`` is the time for which a leaving upstream still takes new work.
+    """
+
+    name: str
+    checks_orders: bool = True
+    slots: int = 2
+    queue: int = 2
+    work_ms: float = 5.0
+    cold_ms: float = 0.0
+    cold_factor: float = 3.0
+    lag_ms: float = 1000.0
+    leave_grace_ms: float = 2000.0
+    connections: int = 130
+    connect_ms: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class GrantOrder:
+    """Body of ``POST /grant``."""
+
+    holder: str
+    term: int
+    seq: int
+    valid_until: float | None
+    units: tuple[str, ...] | None = None
+    excluded: tuple[str, ...] | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GrantState:
+    """Answer to ``POST /grant``. Times are readings of the upstream's clock in milliseconds."""
+
+    clock: float
+    term: int
+    seq: int
+    valid_until: float
+    units: tuple[str, ...]
+    running: tuple[str, ...]
+    state: UpstreamState
+    slots: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GrantReply:
+    """Whether an order was accepted, and the state after it."""
+
+    accepted: bool
+    state: GrantState
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """A work request. ``deadline`` is a reading of the upstream's clock in milliseconds.
+
+    ``term`` is ``None`` if the request carries none. Work with an idempotency key runs at most
+    once.
+    """
+
+    request_id: str
+    key: str
+    unit: str
+    term: int | None = None
+    deadline: float | None = None
+    idempotency_key: str = ""
+    method: str = "GET"
+    target: str = "/"
+    work_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkAnswer:
+    """Answer to completed work. ``path`` is the request's target with its query."""
+
+    upstream: str
+    request_id: str
+    idempotency_key: str
+    key: str
+    unit: str
+    method: str
+    path: str
+    body_bytes: int
+    body_sha256: str
+
+
+class WorkRefusedError(UpstreamError):
+    """Work was refused or dropped. ``status`` is the HTTP status to answer with."""
+
+    def __init__(self, message: str, *, status: int, outcome: Outcome, step: str) -> None:
+        super().__init__(message, outcome=outcome, step=step)
+        self.status = status
+
+
+class CancelResult(StrEnum):
+    """Effect of a cancellation."""
+
+    NOT_RUN = "not-run"
+    DROPPED = "dropped"
+    RUNNING = "running"
+    ABSENT = "absent"
+
+
+@dataclass(frozen=True, kw_only=True)
+class UpstreamFaultOrder:
+    """Body of ``POST /faults``; a fault that is not named stays as it is. Times are milliseconds.
+
+    ``frozen`` stops all answers except to ``/faults`` and ``/record``; ``freeze_ms`` does so for
+    a time. ``silence_connections`` lets all connections opened so far go silent for good.
+    ``misleading`` makes health and load answers claim an idle, ready upstream. ``shed`` refuses
+    all work as if the queue were full.
+    """
+
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra="forbid")
+
+    frozen: bool | None = None
+    freeze_ms: float | None = None
+    leaving: bool | None = None
+    leave_grace_ms: float | None = None
+    cold_ms: float | None = None
+    work_ms: float | None = None
+    lag_ms: float | None = None
+    misleading: bool | None = None
+    shed: bool | None = None
+    silence_connections: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadSample:
+    """Health and load at one time."""
+
+    state: UpstreamState
+    busy: int
+    queued: int
+
+
+@dataclass(slots=True, kw_only=True)
+class UpstreamFaults:
+    """Faults of an upstream that are switched on."""
+
+    misleading: bool = False
+    shed: bool = False
+    work_ms: float = 0.0
+    lag_ms: float = 0.0
+    leave_grace_ms: float = 0.0
+    cold_until: float = 0.0
