Add Cap'n Proto codec and framing of peer messages

Cause: entry hosts exchange typed messages over TCP; the interfaces existed without an encoding. Change: schema peer.capnp, encode/decode derived from the message classes, FrameStream, and parts for messages above 64 KiB (up to 16 MiB). New messages Part and Leaving, and ReplyEnvelope.more for replies of rows in several messages.

--- a/src/acaciasaddle/wire/__init__.py
+++ b/src/acaciasaddle/wire/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from acaciasaddle.wire._codec import decode
+from acaciasaddle.wire._codec import encode
+from acaciasaddle.wire._frames import MAX_FRAME_BYTES
+from acaciasaddle.wire._frames import MAX_MESSAGE_BYTES
+from acaciasaddle.wire._frames import PART_BYTES
+from acaciasaddle.wire._frames import FrameStream
+from acaciasaddle.wire._frames import PartAssembler
+from acaciasaddle.wire._frames import split
 from acaciasaddle.wire._messages import AskRelease
 from acaciasaddle.wire._messages import Call
 from acaciasaddle.wire._messages import CallEnvelope
@@ -13,8 +21,10 @@
 from acaciasaddle.wire._messages import Hello
 from acaciasaddle.wire._messages import KeepRecords
 from acaciasaddle.wire._messages import KeepRows
+from acaciasaddle.wire._messages import Leaving
 from acaciasaddle.wire._messages import Message
 from acaciasaddle.wire._messages import OpenWork
+from acaciasaddle.wire._messages import Part
 from acaciasaddle.wire._messages import Release
 from acaciasaddle.wire._messages import Reply
 from acaciasaddle.wire._messages import ReplyEnvelope
@@ -30,19 +40,26 @@
 from acaciasaddle.wire._messages import WorkReset
 
 __all__ = [
+    "MAX_FRAME_BYTES",
+    "MAX_MESSAGE_BYTES",
+    "PART_BYTES",
     "AskRelease",
     "Call",
     "CallEnvelope",
     "Done",
     "Failed",
+    "FrameStream",
     "Handover",
     "Heartbeat",
     "HeartbeatAck",
     "Hello",
     "KeepRecords",
     "KeepRows",
+    "Leaving",
     "Message",
     "OpenWork",
+    "Part",
+    "PartAssembler",
     "Release",
     "Reply",
     "ReplyEnvelope",
@@ -56,4 +73,7 @@
     "WorkHead",
     "WorkRefused",
     "WorkReset",
+    "decode",
+    "encode",
+    "split",
 ]
--- a/src/acaciasaddle/wire/_messages.py
+++ b/src/acaciasaddle/wire/_messages.py
@@ -232,7 +232,24 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplyEnvelope(Message):
-    """Carries the reply to a call."""
+    """Carries the reply to a call. With ``more`` it is a ``RowsPart`` whose rows continue."""
 
     call_id: int
     reply: Reply
+    more: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Part(Message):
+    """A part of an encoded message that is larger than one part, in order, at most 64 KiB.
+
+    Other messages may come between the parts, so that a large one does not delay heartbeats.
+    """
+
+    last: bool
+    chunk: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving(Message):
+    """The sender stops: begin nothing new on this connection, and close it once it is idle."""
