Add peer connections over TCP

Cause: routing, takeovers and the mirror need calls, heartbeats, forwarded requests and pushed rows between entry hosts. Change: TcpPeerHub with one reader and one writer task per connection, four priorities of outgoing frames, streams with credit, heartbeats with vouching, dialling with backoff, detection of silent connections, and a stop that waits for open streams.

--- a/src/acaciasaddle/peers/__init__.py
+++ b/src/acaciasaddle/peers/__init__.py
@@ -4,5 +4,8 @@
 
 from acaciasaddle.peers._api import Digest
 from acaciasaddle.peers._api import PeerHub
+from acaciasaddle.peers._hub import TcpPeerHub
+from acaciasaddle.peers._transport import connect_tcp
+from acaciasaddle.peers._transport import listen_tcp
 
-__all__ = ["Digest", "PeerHub"]
+__all__ = ["Digest", "PeerHub", "TcpPeerHub", "connect_tcp", "listen_tcp"]
--- /dev/null
+++ b/src/acaciasaddle/peers/_hub.py
@@ -0,0 +1,474 @@
+"""Peer connections over TCP."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.errors import AcaciasaddleError
+from acaciasaddle.errors import PeerError
+from acaciasaddle.errors import PeerProtocolError
+from acaciasaddle.errors import PeerUnreachableError
+from acaciasaddle.observe import get_logger
+from acaciasaddle.peers._api import PeerHub
+from acaciasaddle.peers._connection import Connection
+from acaciasaddle.peers._connection import PendingCall
+from acaciasaddle.peers._limits import BACKOFF_MAX_S
+from acaciasaddle.peers._limits import BACKOFF_MIN_S
+from acaciasaddle.peers._limits import DIAL_TIMEOUT_S
+from acaciasaddle.peers._limits import DIGEST_PEERS
+from acaciasaddle.peers._limits import DIGEST_PERIOD_S
+from acaciasaddle.peers._limits import HEARTBEAT_S
+from acaciasaddle.peers._limits import HELLO_TIMEOUT_S
+from acaciasaddle.peers._limits import LEAVING_GRACE_S
+from acaciasaddle.peers._limits import OTHERS_CHECK_S
+from acaciasaddle.peers._limits import PARTNER_BACKOFF_MAX_S
+from acaciasaddle.peers._limits import PAUSE_S
+from acaciasaddle.peers._limits import TICK_S
+from acaciasaddle.peers._queue import Priority
+from acaciasaddle.peers._rows import slices
+from acaciasaddle.peers._state import HubState
+from acaciasaddle.peers._transport import connect_tcp
+from acaciasaddle.peers._transport import listen_tcp
+from acaciasaddle.wire import FrameStream
+from acaciasaddle.wire import Hello
+from acaciasaddle.wire import Leaving
+from acaciasaddle.wire import Rows
+from acaciasaddle.wire import decode
+from acaciasaddle.wire import encode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.model import BodySource
+    from acaciasaddle.model import ReplySink
+    from acaciasaddle.model import Row
+    from acaciasaddle.model import WorkRequest
+    from acaciasaddle.observe import Metrics
+    from acaciasaddle.peers._api import CallHandler
+    from acaciasaddle.peers._api import Digest
+    from acaciasaddle.peers._api import RowsHandler
+    from acaciasaddle.peers._api import WorkHandler
+    from acaciasaddle.peers._transport import Connect
+    from acaciasaddle.peers._transport import Listen
+    from acaciasaddle.wire import Call
+    from acaciasaddle.wire import Reply
+
+log = get_logger("peers")
+
+
+class _Dial:
+    """An attempt to connect, which any number of tasks may wait for."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.conn: Connection | None = None
+
+
+class _Peer:
+    """A member and this host's own connection to it."""
+
+    def __init__(self, *, member: str, address: str) -> None:
+        self.member = member
+        self.address = address
+        self.conn: Connection | None = None
+        self.dial: _Dial | None = None
+        self.failures = 0
+        self.retry_at = -math.inf
+        self.refused = False
+        self.reason = ""
+
+
+class TcpPeerHub(PeerHub):
+    """Peer connections over TCP, or over other streams in tests.
+
+    ``address`` is ``ip:port`` to listen on. ``connect`` and ``listen`` open connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: str,
+        data_centre: str,
+        address: str,
+        clock: Clock,
+        metrics: Metrics,
+        connect: Connect = connect_tcp,
+        listen: Listen = listen_tcp,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._state = HubState(member=member, data_centre=data_centre, clock=clock, metrics=metrics)
+        self._bind = address
+        self._connect = connect
+        self._listen = listen
+        self._rng = rng or random.Random()
+        self._peers: dict[str, _Peer] = {}
+        self._partners: frozenset[str] = frozenset()
+        self._connections: set[Connection] = set()
+        self._nursery: trio.Nursery | None = None
+        self._listener_scope = trio.CancelScope()
+        self._pushes_in, self._pushes_out = trio.open_memory_channel[tuple[tuple["Row", ...], int]](
+            math.inf
+        )
+
+    @property
+    def address(self) -> str:
+        """The address listened on, ``ip:port``; empty before the start."""
+        return self._state.address
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        listener, self._state.address = await self._listen(self._bind)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._serve_listener, listener)
+                nursery.start_soon(self._supervise)
+                nursery.start_soon(self._push_queued)
+                task_status.started()
+        finally:
+            self._nursery = None
+            await trio.aclose_forcefully(listener)
+
+    async def stop(self) -> None:
+        """Close the listener, wait for open streams in both directions, then close."""
+        self._state.stopping = True
+        self._listener_scope.cancel()
+        for conn in self._accepted():
+            conn.queue.put(Priority.URGENT, encode(Leaving()))
+        while any(conn.has_streams for conn in self._connections):
+            await self._state.stream_ended.park()
+        with trio.move_on_after(LEAVING_GRACE_S):
+            # A request that crossed with ``Leaving`` is still refused as not run meanwhile.
+            while self._accepted() or any(conn.has_calls for conn in self._connections):
+                await self._state.stream_ended.park()
+            for conn in list(self._connections):
+                await conn.queue.flushed()
+        for conn in list(self._connections):
+            conn.close("the hub stopped")
+        if self._nursery is not None:
+            self._nursery.cancel_scope.cancel()
+
+    def _accepted(self) -> list[Connection]:
+        return [conn for conn in self._connections if not conn.dialled and not conn.closed]
+
+    # Membership and digests
+
+    def set_members(self, members: Mapping[str, str]) -> None:
+        for member, address in members.items():
+            if member == self._state.member:
+                continue
+            peer = self._peers.get(member)
+            if peer is None:
+                self._peers[member] = _Peer(member=member, address=address)
+            elif peer.address != address:
+                peer.address = address
+                peer.retry_at = -math.inf
+        for member in [member for member in self._peers if member not in members]:
+            peer = self._peers.pop(member)
+            if peer.conn is not None:
+                # Work in progress goes on; the connection is closed when it has ended.
+                peer.conn.leaving = True
+        self._state.forget(frozenset(members))
+
+    def set_partners(self, partners: frozenset[str]) -> None:
+        self._partners = partners - {self._state.member}
+        for member, peer in self._peers.items():
+            if peer.conn is not None:
+                peer.conn.partner = member in self._partners
+
+    def set_digest(self, *, config_version: int, revision: int) -> None:
+        self._state.config_version = config_version
+        self._state.revision = revision
+
+    def vouched_at(self, member: str) -> float:
+        return self._state.vouched.get(member, -math.inf)
+
+    def answered_at(self, member: str) -> float:
+        """Return when this host last answered a heartbeat of ``member`` with ``vouch`` true.
+
+        The clock is read just before the answer is queued. Minus infinity if there is none.
+        """
+        return self._state.answered.get(member, -math.inf)
+
+    def heard_at(self, member: str) -> float:
+        return self._state.heard.get(member, -math.inf)
+
+    def withhold_vouch(self, member: str) -> None:
+        self._state.withheld.add(member)
+
+    def restore_vouch(self, member: str) -> None:
+        self._state.withheld.discard(member)
+
+    def digests(self) -> tuple[Digest, ...]:
+        return tuple(self._state.digests.values())
+
+    # Calls, requests and rows
+
+    def on_call(self, kind: type[Call], handler: CallHandler) -> None:
+        self._state.call_handlers[kind] = handler
+
+    def on_work(self, handler: WorkHandler) -> None:
+        self._state.work_handler = handler
+
+    def on_rows(self, handler: RowsHandler) -> None:
+        self._state.rows_handler = handler
+
+    async def call(self, member: str, call: Call, *, timeout: float) -> Reply:
+        pending = PendingCall(since=self._state.clock.now())
+        with trio.move_on_after(timeout):
+            conn = await self._connection(member, step="peer.call")
+            return await conn.call(call, pending)
+        raise PeerUnreachableError(
+            f"{type(call).__name__} was not answered within {timeout:.3f} s",
+            sent=pending.sent,
+            step="peer.call",
+            peer=member,
+        )
+
+    async def work(self, member: str, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
+        conn = await self._connection(member, step="peer.work")
+        await conn.work(req, body, reply)
+
+    def push_rows(self, rows: Iterable[Row], *, revision: int = 0) -> None:
+        self._pushes_in.send_nowait((tuple(rows), revision))
+
+    async def _push_queued(self) -> None:
+        # One task for all pushes keeps their order, and slices leave time for heartbeats.
+        async for rows, revision in self._pushes_out:
+            for part, last in slices(rows):
+                self._push_slice(part, revision if last else 0)
+                await trio.lowlevel.checkpoint()
+
+    def _push_slice(self, rows: tuple[Row, ...], revision: int) -> None:
+        try:
+            plain = encode(Rows(rows=rows, revision=0))
+            complete = encode(Rows(rows=rows, revision=revision)) if revision else plain
+        except PeerProtocolError as exc:
+            log.error("rows not pushed", step=exc.step, reason=exc.message)
+            return
+        for conn in self._push_targets():
+            conn.push(complete, incomplete=plain)
+
+    def _push_targets(self) -> Iterable[Connection]:
+        targets: dict[str, Connection] = {}
+        for conn in self._connections:
+            if not conn.closed and (conn.dialled or conn.member not in targets):
+                targets[conn.member] = conn
+        return targets.values()
+
+    # Dialling
+
+    async def identify(self, address: str) -> Hello:
+        """Return what the host at ``address`` says of itself, for seeds of unknown member id.
+
+        Raises ``PeerUnreachableError`` or ``PeerProtocolError``.
+        """
+        frames, hello = await self._open(address, member="")
+        await frames.aclose()
+        return hello
+
+    async def _connection(self, member: str, *, step: str) -> Connection:
+        peer = self._peers.get(member)
+        if peer is None or self._nursery is None:
+            reason = "the member is not known" if peer is None else "the hub does not run"
+            raise PeerUnreachableError(reason, step=step, peer=member)
+        if peer.conn is not None and peer.conn.usable:
+            return peer.conn
+        if peer.dial is None and self._state.clock.now() >= peer.retry_at:
+            self._start_dial(peer)
+        if peer.dial is not None:
+            dial = peer.dial
+            await dial.done.wait()
+            if dial.conn is not None and dial.conn.usable:
+                return dial.conn
+        # During the backoff the last failure is repeated: the caller can try another host.
+        raise PeerUnreachableError(
+            peer.reason or "the connection ended", refused=peer.refused, step=step, peer=member
+        )
+
+    def _start_dial(self, peer: _Peer) -> None:
+        if self._nursery is None or peer.dial is not None:
+            return
+        peer.dial = _Dial()
+        self._nursery.start_soon(self._dial, peer, peer.dial)
+
+    async def _dial(self, peer: _Peer, dial: _Dial) -> None:
+        try:
+            frames, hello = await self._open(peer.address, member=peer.member)
+        except AcaciasaddleError as exc:
+            self._dial_failed(peer, exc)
+            return
+        finally:
+            if peer.dial is dial:
+                peer.dial = None
+            if dial.conn is None:
+                dial.done.set()
+        conn = Connection(state=self._state, frames=frames, hello=hello, dialled=True)
+        conn.partner = peer.member in self._partners
+        peer.failures = 0
+        peer.refused = False
+        peer.reason = ""
+        peer.conn = dial.conn = conn
+        dial.done.set()
+        conn.heartbeat()
+        await self._run(conn, frames)
+
+    def _dial_failed(self, peer: _Peer, exc: AcaciasaddleError) -> None:
+        longest = PARTNER_BACKOFF_MAX_S if peer.member in self._partners else BACKOFF_MAX_S
+        backoff = min(BACKOFF_MIN_S * 2 ** min(peer.failures, 10), longest)
+        # Jitter keeps the hosts that lost the same peer from dialling it in step.
+        peer.retry_at = self._state.clock.now() + backoff * self._rng.uniform(0.5, 1.0)
+        peer.failures += 1
+        peer.refused = isinstance(exc, PeerUnreachableError) and exc.refused
+        peer.reason = exc.message
+        self._state.metrics.count("peers.dial_failures")
+        log.info(
+            "dial failed",
+            step=exc.step,
+            peer=peer.member,
+            address=peer.address,
+            reason=exc.message,
+            refused=peer.refused,
+            failures=peer.failures,
+        )
+
+    async def _open(self, address: str, *, member: str) -> tuple[FrameStream, Hello]:
+        """Connect and exchange ``Hello``. An empty ``member`` accepts any."""
+        peer = member or address
+        self._state.metrics.count("peers.dials")
+        with trio.move_on_after(DIAL_TIMEOUT_S):
+            try:
+                stream = await self._connect(address)
+            except OSError as exc:
+                raise PeerUnreachableError(
+                    f"the connection failed: {exc}",
+                    refused=isinstance(exc, ConnectionRefusedError),
+                    step="peer.dial",
+                    peer=peer,
+                ) from exc
+            frames = FrameStream(stream=stream, peer=peer)
+            try:
+                await frames.send([encode(self._hello())])
+                hello = await _receive_hello(frames)
+                if member and hello.member != member:
+                    raise PeerProtocolError(
+                        f"the host at {address} is {hello.member}", step="peer.hello", peer=peer
+                    )
+                return frames, hello
+            except BaseException:
+                await frames.aclose()
+                raise
+        raise PeerUnreachableError(
+            f"no connection within {DIAL_TIMEOUT_S} s", step="peer.dial", peer=peer
+        )
+
+    def _hello(self) -> Hello:
+        state = self._state
+        return Hello(member=state.member, data_centre=state.data_centre, peer_address=state.address)
+
+    # Connections
+
+    async def _serve_listener(self, listener: trio.abc.Listener[trio.abc.Stream]) -> None:
+        with self._listener_scope:
+            await trio.serve_listeners(self._accept, [listener], handler_nursery=self._nursery)
+        await trio.aclose_forcefully(listener)
+
+    async def _accept(self, stream: trio.abc.Stream) -> None:
+        frames = FrameStream(stream=stream)
+        hello: Hello | None = None
+        try:
+            with trio.move_on_after(HELLO_TIMEOUT_S):
+                hello = await _receive_hello(frames)
+                if hello.member == self._state.member:
+                    raise PeerProtocolError("the peer has this host's id", step="peer.hello")
+                await frames.send([encode(self._hello())])
+        except PeerError as exc:
+            log.warning("connection not accepted", step=exc.step, reason=exc.message)
+            hello = None
+        if hello is None:
+            await frames.aclose()
+            return
+        frames.peer = hello.member
+        await self._run(
+            Connection(state=self._state, frames=frames, hello=hello, dialled=False), frames
+        )
+
+    async def _run(self, conn: Connection, frames: FrameStream) -> None:
+        self._connections.add(conn)
+        log.info(
+            "connection open",
+            step="peer.open",
+            peer=conn.member,
+            data_centre=conn.data_centre,
+            dialled=conn.dialled,
+        )
+        try:
+            await conn.run()
+        except Exception as exc:
+            # A fault on one connection must not end the others.
+            log.error("connection failed", step="peer.run", peer=conn.member, error=repr(exc))
+        finally:
+            self._connections.discard(conn)
+            peer = self._peers.get(conn.member)
+            if peer is not None and peer.conn is conn:
+                peer.conn = None
+            self._state.stream_ended.unpark_all()
+            await frames.aclose()
+
+    async def _supervise(self) -> None:
+        now = self._state.clock.now()
+        next_beat = next_digest = next_check = now
+        last_tick = now
+        while True:
+            await trio.sleep(TICK_S)
+            now = self._state.clock.now()
+            if now - last_tick > PAUSE_S:
+                log.warning(
+                    "this process was paused", step="peer.supervise", seconds=now - last_tick
+                )
+                self._state.awake_since = now
+            last_tick = now
+            check_others = now >= next_check
+            if check_others:
+                next_check = now + OTHERS_CHECK_S
+            for conn in list(self._connections):
+                if conn.partner or check_others:
+                    conn.check_silence(now)
+                    conn.check_use(now)
+            if now >= next_beat - TICK_S / 2:
+                next_beat = max(next_beat + HEARTBEAT_S, now)
+                for member in self._partners:
+                    self._beat(member)
+            if now >= next_digest:
+                next_digest = now + DIGEST_PERIOD_S
+                others = [member for member in self._peers if member not in self._partners]
+                for member in self._rng.sample(others, min(DIGEST_PEERS, len(others))):
+                    self._beat(member)
+
+    def _beat(self, member: str) -> None:
+        peer = self._peers.get(member)
+        if peer is None:
+            return
+        if peer.conn is not None and peer.conn.usable:
+            peer.conn.heartbeat()
+        elif self._state.clock.now() >= peer.retry_at and not self._state.stopping:
+            self._start_dial(peer)
+
+
+async def _receive_hello(frames: FrameStream) -> Hello:
+    data = await frames.receive()
+    if data is None:
+        raise PeerUnreachableError(
+            "the connection ended before Hello", step="peer.hello", peer=frames.peer
+        )
+    message = decode(data)
+    if not isinstance(message, Hello):
+        raise PeerProtocolError(
+            f"{type(message).__name__} came before Hello", step="peer.hello", peer=frames.peer
+        )
+    return message
--- /dev/null
+++ b/src/acaciasaddle/peers/_state.py
@@ -0,0 +1,69 @@
+"""What the connections of a hub share: identity, handlers, vouching and digests."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.peers._api import Digest
+
+if TYPE_CHECKING:
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.observe import Metrics
+    from acaciasaddle.peers._api import CallHandler
+    from acaciasaddle.peers._api import RowsHandler
+    from acaciasaddle.peers._api import WorkHandler
+    from acaciasaddle.wire import Call
+
+FORGET_S = 60.0
+"""Entries of removed members are kept for this time; no wait of a takeover is longer than a few
+seconds, so an older reading has no effect."""
+
+
+class HubState:
+    """State shared by the connections of one hub."""
+
+    def __init__(self, *, member: str, data_centre: str, clock: Clock, metrics: Metrics) -> None:
+        self.member = member
+        self.data_centre = data_centre
+        self.address = ""
+        self.clock = clock
+        self.metrics = metrics
+        self.config_version = 0
+        self.revision = 0
+        self.stopping = False
+        self.awake_since = -math.inf
+        self.vouched: dict[str, float] = {}
+        self.answered: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
+        self.withheld: set[str] = set()
+        self.digests: dict[str, Digest] = {}
+        self.call_handlers: dict[type[Call], CallHandler] = {}
+        self.work_handler: WorkHandler | None = None
+        self.rows_handler: RowsHandler | None = None
+        self.stream_ended = trio.lowlevel.ParkingLot()
+
+    def hear_digest(
+        self, *, member: str, data_centre: str, config_version: int, revision: int
+    ) -> None:
+        """Note what a peer said of itself."""
+        self.digests[member] = Digest(
+            member=member,
+            data_centre=data_centre,
+            config_version=config_version,
+            revision=revision,
+            heard_at=self.clock.now(),
+        )
+
+    def forget(self, keep: frozenset[str]) -> None:
+        """Drop what was noted long ago of peers that are not in ``keep``."""
+        limit = self.clock.now() - FORGET_S
+        for readings in (self.vouched, self.answered, self.heard):
+            for member, at in list(readings.items()):
+                if member not in keep and at < limit:
+                    del readings[member]
+        for member, digest in list(self.digests.items()):
+            if member not in keep and digest.heard_at < limit:
+                del self.digests[member]
--- /dev/null
+++ b/src/acaciasaddle/peers/_transport.py
@@ -0,0 +1,50 @@
+"""TCP connections by IP number."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.errors import PeerError
+
+if TYPE_CHECKING:
+    Listener = trio.abc.Listener[trio.abc.Stream]
+
+Connect = Callable[[str], Awaitable[trio.abc.Stream]]
+"""Connects to ``ip:port``. Raises ``OSError``; ``ConnectionRefusedError`` if refused."""
+
+Listen = Callable[[str], Awaitable[tuple["Listener", str]]]
+"""Listens on ``ip:port`` and returns the listener and its address with the real port."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return IP number and port of ``ip:port`` or ``[ip]:port``. Raises ``PeerError``."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise PeerError(f"the address {address!r} is not ip:port", step="peer.address")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+async def connect_tcp(address: str) -> trio.abc.Stream:
+    """Open a TCP connection. ``SocketStream`` sets TCP_NODELAY and a low unsent-data mark."""
+    host, port = split_address(address)
+    family = trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET
+    sock = trio.socket.socket(family, trio.socket.SOCK_STREAM)
+    try:
+        await sock.connect((host, port))
+        return trio.SocketStream(sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
+async def listen_tcp(address: str) -> tuple[Listener, str]:
+    """Listen on a TCP port; port 0 takes a free one."""
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    bound_host, bound_port = listeners[0].socket.getsockname()[:2]
+    text = f"[{bound_host}]" if ":" in bound_host else bound_host
+    return listeners[0], f"{text}:{bound_port}"
