--- a/src/acaciasaddle/config/_types.py
+++ b/src/acaciasaddle/config/_types.py
@@ -4,24 +4,50 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import ClassVar
 from typing import Literal
 
+from pydantic import ConfigDict
+
+from acaciasaddle.config._fields import Count
+from acaciasaddle.config._fields import DataCentreNames
+from acaciasaddle.config._fields import Duration
+from acaciasaddle.config._fields import HeaderName
+from acaciasaddle.config._fields import IpNumber
+from acaciasaddle.config._fields import ListenAddress
+from acaciasaddle.config._fields import Margin
+from acaciasaddle.config._fields import Method
+from acaciasaddle.config._fields import Name
+from acaciasaddle.config._fields import PathTemplate
+from acaciasaddle.config._fields import PeerAddress
+from acaciasaddle.config._fields import Port
+from acaciasaddle.config._fields import Shards
+from acaciasaddle.config._fields import Share
+from acaciasaddle.config._fields import Text
+from acaciasaddle.config._fields import Weight
+
 DEFAULT_GROUP = "default"
 
+_STRICT = ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StatsdSettings:
     """Address of the statsd daemon and prefix of all metric names."""
 
-    host: str = "127.0.0.1"
-    port: int = 8125
-    prefix: str = "acaciasaddle"
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    host: IpNumber = "127.0.0.1"
+    port: Port = 8125
+    prefix: Text = "acaciasaddle"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LogSettings:
     """Log level and format."""
 
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
     level: Literal["debug", "info", "warning"] = "info"
     format: Literal["text", "json"] = "text"
 
@@ -30,26 +56,30 @@
 class Settings:
     """Settings of one entry host. Addresses are ``ip:port``; an IP number, not a name."""
 
-    host_id: str
-    data_centre: str
-    caller_address: str
-    peer_address: str
-    operator_address: str
-    platform_address: str
-    seeds: tuple[str, ...] = ()
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    host_id: Name
+    data_centre: Name
+    caller_address: ListenAddress
+    peer_address: ListenAddress
+    operator_address: ListenAddress
+    platform_address: PeerAddress
+    seeds: tuple[PeerAddress, ...] = ()
     statsd: StatsdSettings | None = None
     log: LogSettings = field(default_factory=LogSettings)
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_073_741_824
-    header_timeout_s: float = 5.0
-    body_stall_timeout_s: float = 30.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 1_073_741_824
+    header_timeout_s: Duration = 5.0
+    body_stall_timeout_s: Duration = 30.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DataCentre:
     """A data centre and the region that it belongs to."""
 
-    name: str
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
     region: str = ""
 
 
@@ -61,11 +91,13 @@
     responsible that only the holder orders it. ``state`` ``leaving`` drains the upstream.
     """
 
-    name: str
-    address: str
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    address: PeerAddress
     data_centre: str
-    slots: int
-    connections: int = 130
+    slots: Count
+    connections: Count = 130
     checks_orders: bool = True
     state: Literal["active", "leaving"] = "active"
 
@@ -74,15 +106,19 @@
 class ServiceEntry:
     """A service and its upstreams."""
 
-    name: str
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
     upstreams: tuple[Upstream, ...]
-    shards: int = 256
+    shards: Shards = 256
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Inventory:
     """What there is: data centres, services and their upstreams."""
 
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
     data_centres: tuple[DataCentre, ...]
     services: tuple[ServiceEntry, ...]
 
@@ -95,64 +131,75 @@
     upstream's slots that the rank keeps under a flood of other ranks.
     """
 
-    name: str
-    target_ms: int
-    share: float
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
+    target_ms: Count
+    share: Share
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Kind:
     """A kind of work, recognised by method and path.
 
-    ``path`` is a template such as ``/bookings/{key}/deposit``; ``{key}`` is the key and a
-    trailing ``*`` matches any rest. ``once`` work runs at most once and needs an
-    ``Idempotency-Key`` header. ``weight`` is the worth of one answer in good time.
+    ``path`` is a template such as ``/bookings/{key}/deposit``; ``{key}`` is the key and a ``*``
+    as last segment matches any rest. ``once`` work runs at most once and needs an
+    ``Idempotency-Key`` header; ``idempotent`` then has no effect. ``weight`` is the worth of one
+    answer in good time.
     """
 
-    name: str
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
     service: str
-    method: str
-    path: str
+    method: Method
+    path: PathTemplate
     rank: str
     once: bool = False
     bulky: bool = False
     idempotent: bool = True
-    weight: float = 1.0
-    target_ms: int | None = None
+    weight: Weight = 1.0
+    target_ms: Count | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Group:
     """Keys of a service that begin with a prefix, and the data centres that may own them."""
 
-    name: str
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    name: Name
     service: str
-    key_prefix: str
-    data_centres: tuple[str, ...]
-    shards: int = 64
+    key_prefix: Text
+    data_centres: DataCentreNames
+    shards: Shards = 64
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Access:
     """Data centres whose upstreams may serve a caller."""
 
-    caller: str
-    data_centres: tuple[str, ...]
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
+    caller: Text
+    data_centres: DataCentreNames
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rules:
     """Operator's rules. Times end in their unit."""
 
+    __pydantic_config__: ClassVar[ConfigDict] = _STRICT
+
     ranks: tuple[Rank, ...]
     kinds: tuple[Kind, ...]
     groups: tuple[Group, ...] = ()
     access: tuple[Access, ...] = ()
-    caller_header: str = "X-Client-Id"
+    caller_header: HeaderName = "X-Client-Id"
     admission: Literal["fifo", "strict", "deadline", "shares"] = "shares"
-    once_window_s: float = 600.0
-    clock_skew_s: float = 5.0
-    isolation_limit_s: float = 7200.0
-    pause_allowance_s: float = 2.0
-    data_centre_failover_s: float | None = None
-    retry_budget: float = 0.1
+    once_window_s: Duration = 600.0
+    clock_skew_s: Margin = 5.0
+    isolation_limit_s: Duration = 7200.0
+    pause_allowance_s: Margin = 2.0
+    data_centre_failover_s: Duration | None = None
+    retry_budget: Share = 0.1
