--- /dev/null
+++ b/src/acaciasaddle/emulator/_http_caller.py
@@ -0,0 +1,166 @@
+"""HTTP connections of the load tool, and what one attempt of a request brought."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httpcore
+import trio
+
+from acaciasaddle.emulator._records import SeenOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+CHUNK_BYTES = 64 * 1024
+HEAD_BYTES = 4096
+"""Part of an answer that is kept: the stand-in's fields, without the padding."""
+
+FILLER = b"." * CHUNK_BYTES
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OutgoingRequest:
+    """A request of the load tool. ``tag`` makes its target and its body unique."""
+
+    method: str
+    target: str
+    tag: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body_bytes: int
+
+    def chunks(self) -> list[bytes]:
+        """Return the body in parts of at most 64 KiB, which share memory."""
+        head = self.tag.encode()[: self.body_bytes]
+        parts = [head] if head else []
+        left = self.body_bytes - len(head)
+        parts += [FILLER] * (left // CHUNK_BYTES)
+        if left % CHUNK_BYTES:
+            parts.append(FILLER[: left % CHUNK_BYTES])
+        return parts
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """Result of sending a request once. ``retry_after_s`` is ``None`` if not given."""
+
+    outcome: SeenOutcome
+    status: int = 0
+    retry_after_s: float | None = None
+
+
+class Target:
+    """One address, and the idle connections to it.
+
+    Connections are kept here because httpcore's pool examines all of its connections for every
+    request.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._host, self._port = host, int(port)
+        self._origin = httpcore.Origin(b"http", host.encode(), self._port)
+        self._backend = httpcore.TrioBackend()
+        self._idle: list[httpcore.AsyncHTTP11Connection] = []
+
+    async def attempt(self, req: OutgoingRequest) -> Attempt:
+        """Send a request and read its whole answer."""
+        try:
+            conn = await self._connection()
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, OSError):
+            return Attempt(outcome=SeenOutcome.NO_ANSWER)
+        try:
+            result = await self._exchange(conn, req)
+        finally:
+            if conn.is_idle():
+                self._idle.append(conn)
+            else:
+                with trio.CancelScope(shield=True):
+                    await conn.aclose()
+        return result
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().aclose()
+
+    async def _connection(self) -> httpcore.AsyncHTTP11Connection:
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.has_expired():
+                return conn
+            await conn.aclose()
+        stream = await self._backend.connect_tcp(self._host, self._port)
+        return httpcore.AsyncHTTP11Connection(origin=self._origin, stream=stream)
+
+    async def _exchange(
+        self, conn: httpcore.AsyncHTTP11Connection, req: OutgoingRequest
+    ) -> Attempt:
+        host = (b"Host", self.address.encode())
+        length = (b"Content-Length", str(req.body_bytes).encode())
+        headers = [host, *req.headers, *([length] if req.body_bytes else [])]
+        url = httpcore.URL(
+            scheme=b"http", host=self._host.encode(), port=self._port, target=req.target.encode()
+        )
+        chunks = req.chunks()
+        try:
+            res = await conn.handle_async_request(
+                httpcore.Request(req.method, url, headers=headers, content=_stream(chunks))
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+            return Attempt(outcome=SeenOutcome.NO_ANSWER)
+        head = bytearray()
+        cut = False
+        try:
+            async for part in res.aiter_stream():
+                head += part[: HEAD_BYTES - len(head)]
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+            cut = True
+        finally:
+            with trio.CancelScope(shield=True):
+                await res.aclose()
+        return _judge(req, chunks, res, bytes(head), cut=cut)
+
+
+async def _stream(chunks: list[bytes]) -> AsyncIterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+
+
+def _judge(
+    req: OutgoingRequest, chunks: list[bytes], res: httpcore.Response, head: bytes, *, cut: bool
+) -> Attempt:
+    headers = {name.lower(): value.decode("latin-1") for name, value in res.headers}
+    retry_after = headers.get(b"retry-after", "")
+    outcome = _outcome(res.status, headers.get(b"acaciasaddle-outcome", ""))
+    if cut and outcome is SeenOutcome.COMPLETED:
+        outcome = SeenOutcome.CUT
+    elif outcome is SeenOutcome.COMPLETED and not _is_own_answer(req, chunks, head):
+        outcome = SeenOutcome.FOREIGN
+    return Attempt(
+        outcome=outcome,
+        status=res.status,
+        retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+    )
+
+
+def _outcome(status: int, header: str) -> SeenOutcome:
+    if 200 <= status < 300:
+        return SeenOutcome.COMPLETED
+    if header in ("not-run", "unknown"):
+        return SeenOutcome(header)
+    return SeenOutcome.REFUSED if status < 500 else SeenOutcome.UNKNOWN
+
+
+def _is_own_answer(req: OutgoingRequest, chunks: list[bytes], head: bytes) -> bool:
+    """Return whether an answer names the request's own target and the digest of its body."""
+    if json.dumps(req.target).encode() not in head:
+        return False
+    digest = hashlib.sha256()
+    for chunk in chunks:
+        digest.update(chunk)
+    return digest.hexdigest().encode() in head
--- a/src/acaciasaddle/emulator/_records.py
+++ b/src/acaciasaddle/emulator/_records.py
@@ -79,10 +79,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRecord:
-    """A request with an idempotency key, as its caller saw it."""
+    """A request with an idempotency key, as its caller saw it.
+
+    ``outcome`` and ``status`` are of the last attempt, ``earlier`` the outcomes of those before.
+    """
 
     idempotency_key: str
     kind: str
     outcome: SeenOutcome
     status: int
-    attempts: int
+    earlier: tuple[SeenOutcome, ...] = ()
--- a/src/acaciasaddle/emulator/cli/_main.py
+++ b/src/acaciasaddle/emulator/cli/_main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from acaciasaddle.emulator.cli._load import load
 from acaciasaddle.emulator.cli._platform import platform
 from acaciasaddle.emulator.cli._upstream import upstream
 from acaciasaddle.observe import configure_logs
@@ -19,3 +20,4 @@
 
 main.add_command(platform)
 main.add_command(upstream)
+main.add_command(load)
