--- /dev/null
+++ b/src/acaciasaddle/__main__.py
@@ -0,0 +1,7 @@
+"""Runs ``python -m acaciasaddle``."""
+
+from __future__ import annotations
+
+from acaciasaddle.cli import main
+
+main()
--- a/src/acaciasaddle/dispatch/_api.py
+++ b/src/acaciasaddle/dispatch/_api.py
@@ -80,6 +80,10 @@
     def import_records(self, upstream: UpstreamId, records: Iterable[OnceRecord]) -> None:
         """Add records received from another host; ``started`` ones become ``unknown``."""
 
+    @abstractmethod
+    def memory_since(self, upstream: UpstreamId) -> float:
+        """Return the time of day before which records may be missing; goes with exports."""
+
     @abstractmethod
     def load(self, upstream: UpstreamId) -> UpstreamLoad:
         """Return the observed load of an upstream."""
--- /dev/null
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -0,0 +1,327 @@
+"""A deployment of stand-ins and entry hosts as separate processes on loopback.
+
+This is a test tool: processes of the system itself start no other processes.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import uuid
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from pydantic import TypeAdapter
+
+from acaciasaddle.emulator._json_http import request_json
+from acaciasaddle.emulator._records import UpstreamRecord
+from acaciasaddle.errors import AcaciasaddleError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+START_LIMIT_S = 30.0
+POLL_S = 0.05
+# Starting an interpreter costs about 0.4 s of processor time.
+PARALLEL_STARTS = 8
+
+RECORD = TypeAdapter(UpstreamRecord)
+
+
+class FleetError(AcaciasaddleError):
+    """A process of the fleet did not start or answer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamPlan:
+    """An upstream to start."""
+
+    service: str
+    name: str
+    data_centre: str
+    slots: int
+    work_ms: float
+    checks_orders: bool = True
+
+    @property
+    def id(self) -> str:
+        """Identifier, ``service/name``."""
+        return f"{self.service}/{self.name}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostPlan:
+    """An entry host to start."""
+
+    host_id: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """A deployment. ``rules`` and ``data_centres`` are JSON objects of the configuration."""
+
+    data_centres: tuple[str, ...]
+    upstreams: tuple[UpstreamPlan, ...]
+    hosts: tuple[HostPlan, ...]
+    rules: dict[str, Any]
+    shards: int = 256
+
+
+@dataclass(slots=True, kw_only=True)
+class Member:
+    """A running process. ``address`` is what it listens on for its main protocol."""
+
+    name: str
+    process: trio.Process
+    address: str
+    operator: str = ""
+    killed_at: float | None = None
+
+
+@dataclass(slots=True, kw_only=True)
+class Fleet:
+    """Running processes of a deployment, and the records of lost upstreams."""
+
+    plan: FleetPlan
+    directory: Path
+    platform: Member | None = None
+    upstreams: dict[str, Member] = field(default_factory=dict)
+    hosts: dict[str, Member] = field(default_factory=dict)
+    lost_records: list[UpstreamRecord] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start all processes and wait until they listen."""
+        self.platform = await self._start_listening("platform", ["platform"])
+        limit = trio.CapacityLimiter(PARALLEL_STARTS)
+        async with trio.open_nursery() as nursery:
+            for plan in self.plan.upstreams:
+                nursery.start_soon(self._limited, limit, self.start_upstream, plan)
+            for host in self.plan.hosts:
+                nursery.start_soon(self._limited, limit, self.start_host, host)
+
+    async def start_upstream(self, plan: UpstreamPlan) -> None:
+        """Start one upstream stand-in, on its earlier address if it had one."""
+        old = self.upstreams.get(plan.id)
+        args = ["upstream", "--name", plan.id, "--slots", str(plan.slots)]
+        args += ["--work-ms", str(plan.work_ms), "--address", old.address if old else "127.0.0.1:0"]
+        args.append("--checks-orders" if plan.checks_orders else "--obeys-anyone")
+        self.upstreams[plan.id] = await self._start_listening(plan.id, args)
+
+    async def start_host(self, plan: HostPlan) -> None:
+        """Start one entry host on new addresses."""
+        assert self.platform is not None
+        caller, peer, operator = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        settings = {
+            "host_id": plan.host_id,
+            "data_centre": plan.data_centre,
+            "caller_address": caller,
+            "peer_address": peer,
+            "operator_address": operator,
+            "platform_address": self.platform.address,
+            "seeds": [],
+        }
+        path = self.directory / f"{plan.host_id}.json"
+        path.write_text(json.dumps(settings))
+        args = [sys.executable, "-m", "acaciasaddle", "run", str(path)]
+        process = await self._open(plan.host_id, args)
+        host = Member(name=plan.host_id, process=process, address=caller, operator=operator)
+        self.hosts[plan.host_id] = host
+        with trio.move_on_after(START_LIMIT_S):
+            while process.poll() is None:
+                try:
+                    await request_json(operator, "GET", "/status")
+                    return
+                except OSError:
+                    await trio.sleep(POLL_S)
+        raise FleetError("entry host does not answer", step="fleet.start", peer=plan.host_id)
+
+    async def apply(self, *, author: str = "fleet", **changes: Any) -> int:
+        """Apply the configuration through some entry host; returns its version."""
+        body = {
+            "inventory": self.inventory(**changes),
+            "rules": self.plan.rules,
+            "author": author,
+            "change_id": str(uuid.uuid4()),
+        }
+        host = next(iter(self.live_hosts()))
+        status, answer = await request_json(host.operator, "POST", "/config", body, timeout=20)
+        if status != 200:
+            raise FleetError(f"change is refused: {answer}", step="fleet.apply", peer=host.name)
+        return int(answer["version"])
+
+    def inventory(self, *, leaving: frozenset[str] = frozenset()) -> dict[str, Any]:
+        """Return the inventory; ``leaving`` names upstreams to drain."""
+        services: dict[str, list[dict[str, Any]]] = {}
+        for plan in self.plan.upstreams:
+            services.setdefault(plan.service, []).append(
+                {
+                    "name": plan.name,
+                    "address": self.upstreams[plan.id].address,
+                    "data_centre": plan.data_centre,
+                    "slots": plan.slots,
+                    "checks_orders": plan.checks_orders,
+                    "state": "leaving" if plan.id in leaving else "active",
+                }
+            )
+        return {
+            "data_centres": [{"name": name} for name in self.plan.data_centres],
+            "services": [
+                {"name": name, "shards": self.plan.shards, "upstreams": upstreams}
+                for name, upstreams in services.items()
+            ],
+        }
+
+    async def wait_in_force(self, version: int, *, limit: float = 30.0) -> float:
+        """Wait until a configuration is in force at all live hosts; returns the seconds."""
+        started = trio.current_time()
+        while trio.current_time() - started < limit:
+            answers = [await self._ask(host, "/status") for host in self.live_hosts()]
+            if all(answer and answer["config_version"] >= version for answer in answers):
+                return trio.current_time() - started
+            await trio.sleep(POLL_S)
+        raise FleetError(f"version {version} is not in force everywhere", step="fleet.wait")
+
+    async def wait_served(self, *, limit: float = 30.0) -> float:
+        """Wait until all units are owned and all upstreams have a successor."""
+        started = trio.current_time()
+        host = next(iter(self.live_hosts()))
+        while trio.current_time() - started < limit:
+            status = await self._ask(host, "/status")
+            upstreams = status["upstreams"] if status else []
+            units = sum(upstream["units"] for upstream in upstreams)
+            settled = all(u["state"] == "ready" and u["successor"] for u in upstreams)
+            services = len({plan.service for plan in self.plan.upstreams})
+            if upstreams and settled and units == services * self.plan.shards:
+                return trio.current_time() - started
+            await trio.sleep(POLL_S)
+        raise FleetError("units are not served", step="fleet.wait")
+
+    async def kill_upstream(self, upstream: str) -> float:
+        """Kill an upstream, keeping its record; returns CLOCK_BOOTTIME in seconds."""
+        member = self.upstreams[upstream]
+        record = await self.record(member)
+        member.process.kill()
+        member.killed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self.lost_records.append(_ended(record, member.killed_at * 1000))
+        await member.process.wait()
+        return member.killed_at
+
+    async def kill_host(self, host_id: str) -> float:
+        """Kill an entry host; returns CLOCK_BOOTTIME in seconds."""
+        member = self.hosts[host_id]
+        member.process.kill()
+        member.killed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        await member.process.wait()
+        return member.killed_at
+
+    async def stop_host(self, host_id: str, *, limit: float = 20.0) -> int:
+        """Stop an entry host gracefully; returns its exit code."""
+        member = self.hosts[host_id]
+        member.process.terminate()
+        member.killed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        with trio.move_on_after(limit):
+            return await member.process.wait()
+        raise FleetError("entry host does not stop", step="fleet.stop", peer=host_id)
+
+    def pause(self, member: Member) -> None:
+        """Suspend a process as if its machine was paused."""
+        member.process.send_signal(signal.SIGSTOP)
+
+    def resume(self, member: Member) -> None:
+        """Resume a suspended process."""
+        member.process.send_signal(signal.SIGCONT)
+
+    def live_hosts(self) -> list[Member]:
+        """Return the entry hosts that run."""
+        return [host for host in self.hosts.values() if host.killed_at is None]
+
+    async def record(self, member: Member) -> UpstreamRecord:
+        """Return what an upstream recorded."""
+        _, answer = await request_json(member.address, "GET", "/record", timeout=20)
+        return RECORD.validate_python(answer)
+
+    async def records(self) -> list[UpstreamRecord]:
+        """Return the records of all upstreams, lost ones included."""
+        running = [m for m in self.upstreams.values() if m.process.poll() is None]
+        return [*self.lost_records, *[await self.record(member) for member in running]]
+
+    async def stop(self) -> None:
+        """End all processes."""
+        with trio.CancelScope(shield=True):
+            members = [*self.hosts.values(), *self.upstreams.values()]
+            for member in [*members, self.platform]:
+                if member is not None and member.process.poll() is None:
+                    member.process.send_signal(signal.SIGCONT)
+                    member.process.kill()
+                    await member.process.wait()
+
+    async def _ask(self, host: Member, path: str) -> Any:
+        try:
+            status, answer = await request_json(host.operator, "GET", path)
+        except OSError:
+            return None
+        return answer if status == 200 else None
+
+    async def _limited(self, limit: trio.CapacityLimiter, start: Any, plan: Any) -> None:
+        async with limit:
+            await start(plan)
+
+    async def _start_listening(self, name: str, args: list[str]) -> Member:
+        command = [sys.executable, "-m", "acaciasaddle.emulator", "--log-level", "warning", *args]
+        process = await self._open(name, command, stdout=subprocess.PIPE)
+        assert process.stdout is not None
+        line = b""
+        with trio.move_on_after(START_LIMIT_S):
+            while not line.endswith(b"\n"):
+                chunk = await process.stdout.receive_some(1024)
+                if not chunk:
+                    break
+                line += chunk
+        if not line.endswith(b"\n"):
+            raise FleetError("process does not start", step="fleet.start", peer=name)
+        return Member(name=name, process=process, address=json.loads(line)["ready"])
+
+    async def _open(self, name: str, command: list[str], **options: Any) -> trio.Process:
+        log_path = self.directory / f"{name.replace('/', '-')}.log"
+        with open(log_path, "ab") as log_file:
+            return await trio.lowlevel.open_process(
+                command, stderr=log_file, env=dict(os.environ), **options
+            )
+
+
+@asynccontextmanager
+async def running_fleet(plan: FleetPlan, directory: Path) -> AsyncIterator[Fleet]:
+    """Start a fleet and end all its processes afterwards."""
+    fleet = Fleet(plan=plan, directory=directory)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def free_port() -> int:
+    """Return a TCP port of 127.0.0.1 that is free at the moment."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+def _ended(record: UpstreamRecord, boot_ms: float) -> UpstreamRecord:
+    """Return a record whose ownership ends with the process."""
+    data = RECORD.dump_python(record)
+    for owned in data["owned"]:
+        owned["boot_until_ms"] = min(owned["boot_until_ms"], boot_ms)
+    return RECORD.validate_python(data)
--- a/src/acaciasaddle/emulator/_upstream_model.py
+++ b/src/acaciasaddle/emulator/_upstream_model.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+import uuid
 from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -71,6 +72,7 @@
         self.settings = settings
         self._clock = clock if clock is not None else BootClock()
         self._offset_ms = offset_ms if offset_ms is not None else random.uniform(0, MAX_OFFSET_MS)
+        self.instance = uuid.uuid4().hex
         self._term = 0
         self._seq = 0
         self._log = OwnershipLog(offset_ms=self._offset_ms)
@@ -116,8 +118,9 @@
         self._log.expire(now)
         if (order.term, order.seq) < (self._term, self._seq):
             return GrantReply(accepted=False, state=self._grant_state(now))
-        if order.valid_until is None:
-            # A question about the state must not make a grant in flight look old.
+        if order.valid_until is None or order.instance != self.instance:
+            # A validity read off the clock of an earlier process means nothing here. A question
+            # about the state must not make a grant in flight look old.
             if order.term > self._term:
                 self._term, self._seq = order.term, order.seq
             return GrantReply(accepted=True, state=self._grant_state(now))
@@ -137,6 +140,7 @@
     def _grant_state(self, now: float) -> GrantState:
         running = {item.work.unit for item in self._in_progress.values() if item.has_slot}
         return GrantState(
+            instance=self.instance,
             clock=now,
             term=self._term,
             seq=self._seq,
--- a/src/acaciasaddle/emulator/_upstream_types.py
+++ b/src/acaciasaddle/emulator/_upstream_types.py
@@ -48,11 +48,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class GrantOrder:
-    """Body of ``POST /grant``."""
+    """Body of ``POST /grant``. ``instance`` names the process that the holder has dealt with."""
 
     holder: str
     term: int
     seq: int
+    instance: str
     valid_until: float | None
     units: tuple[str, ...] | None = None
     excluded: tuple[str, ...] | None = None
@@ -62,6 +63,7 @@
 class GrantState:
     """Answer to ``POST /grant``. Times are readings of the upstream's clock in milliseconds."""
 
+    instance: str
     clock: float
     term: int
     seq: int
--- a/src/acaciasaddle/entry/__init__.py
+++ b/src/acaciasaddle/entry/__init__.py
@@ -1,3 +1,8 @@
-"""Package."""
+"""An entry host: the HTTP side for callers and operators, and the process itself."""
 
 from __future__ import annotations
+
+from acaciasaddle.entry._host import run_entry_host
+from acaciasaddle.entry._ingress import Ingress
+
+__all__ = ["Ingress", "run_entry_host"]
--- /dev/null
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -0,0 +1,311 @@
+"""The path of a caller's request: classify, route, forward to the holder, route again."""
+
+from __future__ import annotations
+
+import json
+import math
+import uuid
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+import trio
+
+from acaciasaddle.config import caller_data_centres
+from acaciasaddle.entry._decisions import Decision
+from acaciasaddle.entry._decisions import Decisions
+from acaciasaddle.entry._exchange import CallerBody
+from acaciasaddle.entry._exchange import CallerReply
+from acaciasaddle.errors import NotOwnerError
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import PeerUnreachableError
+from acaciasaddle.errors import RefusedError
+from acaciasaddle.errors import RequestError
+from acaciasaddle.kernel import Service
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.model import WorkRequest
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.config import Settings
+    from acaciasaddle.dispatch import Dispatcher
+    from acaciasaddle.entry._exchange import Receive
+    from acaciasaddle.entry._exchange import Send
+    from acaciasaddle.errors import AcaciasaddleError
+    from acaciasaddle.mirror import Configuration
+    from acaciasaddle.mirror import Mirror
+    from acaciasaddle.observe import Metrics
+    from acaciasaddle.ownership import Route
+    from acaciasaddle.ownership import Router
+    from acaciasaddle.peers import PeerHub
+
+REROUTE_PAUSE_S = 0.01
+REROUTE_MAX_PAUSE_S = 0.05
+OWN_HEADERS = "acaciasaddle-"
+
+log = get_logger("route")
+
+
+class Ingress(Service):
+    """Serves callers' requests."""
+
+    name: ClassVar[str] = "ingress"
+
+    def __init__(
+        self,
+        *,
+        member: str,
+        settings: Settings,
+        mirror: Mirror,
+        router: Router,
+        dispatcher: Dispatcher,
+        hub: PeerHub,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._member = member
+        self._settings = settings
+        self._mirror = mirror
+        self._router = router
+        self._dispatcher = dispatcher
+        self._hub = hub
+        self._clock = clock
+        self._metrics = metrics
+        self.decisions = Decisions()
+        self.in_progress = 0
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        task_status.started()
+        await trio.sleep_forever()
+
+    async def handle(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one HTTP request given as an ASGI scope."""
+        request_id = f"{self._settings.host_id}-{uuid.uuid4().hex}"
+        reply = CallerReply(send=send, request_id=request_id)
+        body = CallerBody(
+            receive=receive,
+            max_bytes=self._settings.max_body_bytes,
+            stall_timeout=self._settings.body_stall_timeout_s,
+        )
+        self.in_progress += 1
+        started = self._clock.now()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(body.pump, nursery.cancel_scope)
+                await self._serve(scope, request_id, body, reply)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.in_progress -= 1
+            self._metrics.timing("ingress.request", (self._clock.now() - started) * 1000)
+            if not reply.ended:
+                self._note(request_id, "caller.gone", "the exchange ended without a whole answer")
+
+    async def _serve(
+        self, scope: Any, request_id: str, body: CallerBody, reply: CallerReply
+    ) -> None:
+        try:
+            req = self._classify(scope, request_id)
+            await self._forward(req, body, reply)
+        except RequestError as exc:
+            await self._refuse(reply, request_id, exc, Outcome.NOT_RUN, exc.status, None)
+        except RefusedError as exc:
+            await self._refuse(reply, request_id, exc, exc.outcome, exc.status, exc.retry_after)
+
+    def _classify(self, scope: Any, request_id: str) -> WorkRequest:
+        cfg = self._mirror.configuration
+        if cfg is None or not self._mirror.complete:
+            raise RefusedError(
+                "this host has no configuration yet",
+                outcome=Outcome.NOT_RUN,
+                status=503,
+                retry_after=1.0,
+                step="classify",
+            )
+        headers = _headers(scope)
+        match = cfg.classifier.classify(scope["method"], scope["raw_path"].decode("latin-1"))
+        if match is None:
+            raise RequestError("no kind of work matches", status=404, step="classify")
+        kind, key = match.kind, match.key
+        named = {name.lower(): value for name, value in headers}
+        length = named.get("content-length", "")
+        query = scope.get("query_string", b"").decode("latin-1")
+        rank = next(rank for rank in cfg.rules.ranks if rank.name == kind.rank)
+        return WorkRequest(
+            request_id=request_id,
+            service=kind.service,
+            unit=UnitId(kind.service, "", 0),
+            upstream=UpstreamId(kind.service, ""),
+            key=key,
+            kind=kind.name,
+            rank=kind.rank,
+            once=kind.once,
+            bulky=kind.bulky,
+            caller=named.get(cfg.rules.caller_header.lower(), ""),
+            idempotency_key=named.get("idempotency-key", "") if kind.once else "",
+            method=scope["method"],
+            target=scope["raw_path"].decode("latin-1") + (f"?{query}" if query else ""),
+            headers=tuple((n, v) for n, v in headers if not n.lower().startswith(OWN_HEADERS)),
+            body_length=int(length) if length.isdigit() else -1,
+            budget_ms=kind.target_ms or rank.target_ms,
+        )
+
+    async def _forward(self, req: WorkRequest, body: CallerBody, reply: CallerReply) -> None:
+        cfg = self._mirror.configuration
+        assert cfg is not None
+        idempotent = next(k.idempotent for k in cfg.rules.kinds if k.name == req.kind)
+        deadline = self._clock.now() + req.budget_ms / 1000
+        pause = REROUTE_PAUSE_S
+        last: AcaciasaddleError | None = None
+        for attempt in range(1, 1_000_000):
+            left = deadline - self._clock.now()
+            if left <= 0:
+                raise self._too_late(last)
+            try:
+                route = self._router.route(service=req.service, key=req.key)
+                self._check_access(cfg, req, route)
+                req = replace(
+                    req,
+                    unit=route.unit,
+                    upstream=route.owner,
+                    budget_ms=max(int(left * 1000), 1),
+                    attempt=attempt,
+                )
+                await self._attempt(req, route, attempt, body, reply)
+                return
+            except NotOwnerError as exc:
+                last = exc
+            except PeerUnreachableError as exc:
+                # The holder and its successor share the records of work that must run once, so
+                # sending it again there cannot run it twice.
+                if exc.sent and not (idempotent or req.once):
+                    raise self._unknown(exc) from exc
+                last = exc
+            except RefusedError as exc:
+                if exc.step != "route":
+                    raise
+                last = exc
+            if reply.started:
+                raise RefusedError(
+                    f"the answer was cut short: {last}",
+                    outcome=Outcome.UNKNOWN,
+                    status=504,
+                    step="forward",
+                    peer=last.peer,
+                )
+            if not body.rewind():
+                raise self._unknown(last)
+            await trio.sleep(min(pause, max(deadline - self._clock.now(), 0)))
+            pause = min(pause * 2, REROUTE_MAX_PAUSE_S)
+
+    async def _attempt(
+        self, req: WorkRequest, route: Route, attempt: int, body: CallerBody, reply: CallerReply
+    ) -> None:
+        # While the holder is out of reach its successor may have taken over without the table.
+        member = route.successor if attempt % 2 == 0 and route.successor else route.holder
+        detail = f"unit {route.unit} owned by {route.owner}, held by {member}"
+        self._note(req.request_id, "route", detail)
+        log.info(
+            "request is routed",
+            request=req.request_id,
+            kind=req.kind,
+            rank=req.rank,
+            unit=str(route.unit),
+            owner=str(route.owner),
+            holder=member,
+            attempt=attempt,
+            config=route.config_version,
+        )
+        if member == self._member:
+            await self._dispatcher.serve(req, body, reply)
+        else:
+            await self._hub.work(member, req, body, reply)
+        self._note(req.request_id, "answer", f"status {reply.status}")
+
+    def _check_access(self, cfg: Configuration, req: WorkRequest, route: Route) -> None:
+        allowed = caller_data_centres(cfg.inventory, cfg.rules, req.caller)
+        owner = cfg.upstreams.get(route.owner)
+        place = owner.entry.data_centre if owner else "unknown"
+        if place in allowed:
+            return
+        raise RefusedError(
+            f"caller {req.caller!r} may not be served from data centre {place}",
+            outcome=Outcome.NOT_RUN,
+            status=403,
+            step="access",
+            peer=str(route.owner),
+        )
+
+    def _too_late(self, last: AcaciasaddleError | None) -> RefusedError:
+        reason = f": {last}" if last else ""
+        return RefusedError(
+            f"no holder served the request in time{reason}",
+            outcome=Outcome.NOT_RUN,
+            status=503,
+            retry_after=1.0,
+            step="forward",
+            peer=last.peer if last else "",
+        )
+
+    def _unknown(self, exc: AcaciasaddleError | None) -> RefusedError:
+        return RefusedError(
+            f"the request may have run: {exc}",
+            outcome=Outcome.UNKNOWN,
+            status=504,
+            step=exc.step if exc else "forward",
+            peer=exc.peer if exc else "",
+        )
+
+    async def _refuse(
+        self,
+        reply: CallerReply,
+        request_id: str,
+        exc: AcaciasaddleError,
+        outcome: Outcome,
+        status: int,
+        retry_after: float | None,
+    ) -> None:
+        self._note(request_id, exc.step, f"refused as {outcome}: {exc.message}")
+        self._metrics.count(f"ingress.refused.{outcome}")
+        log.info(
+            "request is refused",
+            request=request_id,
+            outcome=outcome.value,
+            status=status,
+            step=exc.step,
+            peer=exc.peer,
+            reason=exc.message,
+        )
+        if reply.started:
+            # Returning without the end of the answer has hypercorn close the connection.
+            return
+        problem = {
+            "type": "about:blank",
+            "title": exc.message,
+            "status": status,
+            "outcome": outcome.value,
+            "step": exc.step,
+            "peer": exc.peer,
+            "reason": exc.message,
+            "request_id": request_id,
+        }
+        data = json.dumps(problem).encode()
+        headers = [
+            ("content-type", "application/problem+json"),
+            ("content-length", str(len(data))),
+            ("acaciasaddle-outcome", outcome.value),
+        ]
+        if retry_after is not None:
+            headers.append(("retry-after", str(math.ceil(retry_after))))
+        await reply.head(status, tuple(headers))
+        await reply.data(data)
+        await reply.end()
+
+    def _note(self, request_id: str, step: str, detail: str) -> None:
+        self.decisions.add(request_id, Decision(at=self._clock.wall(), step=step, detail=detail))
+
+
+def _headers(scope: Any) -> list[tuple[str, str]]:
+    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]]
--- /dev/null
+++ b/src/acaciasaddle/mirror/_mirror.py
@@ -0,0 +1,247 @@
+"""Keeps rows in step with the table and with peers."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+from typing import TypeVar
+
+import trio
+
+from acaciasaddle.errors import AcaciasaddleError
+from acaciasaddle.errors import ConfigError
+from acaciasaddle.errors import PeerError
+from acaciasaddle.errors import PlatformError
+from acaciasaddle.kernel import Service
+from acaciasaddle.mirror._configuration import Configuration
+from acaciasaddle.model import ConfigRow
+from acaciasaddle.model import HostRow
+from acaciasaddle.model import PinsRow
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UnitsRow
+from acaciasaddle.model import UpstreamRow
+from acaciasaddle.observe import get_logger
+from acaciasaddle.wire import RowsPart
+from acaciasaddle.wire import RowsSince
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.model import Row
+    from acaciasaddle.model import UnitAssignment
+    from acaciasaddle.model import UpstreamId
+    from acaciasaddle.peers import PeerHub
+    from acaciasaddle.platform import Scan
+    from acaciasaddle.platform import Table
+    from acaciasaddle.wire import Call
+    from acaciasaddle.wire import Reply
+
+POLL_INTERVAL_S = 1.0
+PEER_CALL_TIMEOUT_S = 1.0
+CONFIG_KEY = "config/current"
+
+T = TypeVar("T")
+log = get_logger("mirror")
+
+
+class Mirror(Service):
+    """A copy of the table's rows in memory.
+
+    A row is replaced only by a higher version, whether it comes from the table or from a peer.
+    ``revision`` is the table revision up to which the copy is complete, 0 before it ever was.
+    ``serial`` grows whenever a row changes.
+    """
+
+    name: ClassVar[str] = "mirror"
+
+    def __init__(self, *, table: Table, hub: PeerHub, clock: Clock) -> None:
+        self._table = table
+        self._hub = hub
+        self._clock = clock
+        self._rows: dict[str, Row] = {}
+        self._by_part: dict[str, set[str]] = {}
+        self._parsed: dict[str, tuple[int, Any]] = {}
+        self._changed = trio.Event()
+        self._poll_now = trio.Event()
+        self.revision = 0
+        self.serial = 0
+        self.store_heard_at = float("-inf")
+        self.store_up = False
+        self.configuration: Configuration | None = None
+        hub.on_rows(self._take_pushed)
+        hub.on_call(RowsSince, self._answer_rows_since)
+
+    @property
+    def complete(self) -> bool:
+        """Whether the copy has been complete at least once."""
+        return self.revision > 0
+
+    def get(self, key: str) -> Row | None:
+        """Return a row, or ``None``."""
+        return self._rows.get(key)
+
+    def version(self, key: str) -> int:
+        """Return the version of a row, 0 if it is absent."""
+        row = self._rows.get(key)
+        return row.version if row else 0
+
+    def below(self, part: str) -> Iterator[Row]:
+        """Return the rows whose key begins with ``part/``."""
+        for key in tuple(self._by_part.get(part, ())):
+            yield self._rows[key]
+
+    def upstream_row(self, upstream: UpstreamId) -> UpstreamRow | None:
+        """Return who holds an upstream."""
+        return self._typed(upstream.row_key, UpstreamRow.from_json)
+
+    def units_row(self, key: str) -> UnitsRow | None:
+        """Return the assignments of a chunk of shards."""
+        return self._typed(key, UnitsRow.from_json)
+
+    def pins_row(self, service: str) -> PinsRow | None:
+        """Return the assignments of the pinned keys of a service."""
+        return self._typed(f"pins/{service}", PinsRow.from_json)
+
+    def host_rows(self) -> Iterator[HostRow]:
+        """Return the rows of all entry hosts."""
+        for row in self.below("host"):
+            host = self._typed(row.key, HostRow.from_json)
+            if host is not None:
+                yield host
+
+    def assignment(self, unit: UnitId) -> UnitAssignment | None:
+        """Return the assignment of a unit."""
+        if unit.is_pin:
+            pins = self.pins_row(unit.service)
+            return pins.units.get(f"{unit.group}/{unit.key}") if pins else None
+        chunk = self.units_row(unit.row_key)
+        return chunk.units.get(unit.shard) if chunk else None
+
+    def assignments(self, service: str) -> Iterator[tuple[UnitId, UnitAssignment]]:
+        """Return all units of a service with their assignments."""
+        for row in self.below("units"):
+            _, owner_service, group, _ = row.key.split("/", 3)
+            chunk = self.units_row(row.key) if owner_service == service else None
+            for shard, assignment in chunk.units.items() if chunk else ():
+                yield UnitId(service, group, shard), assignment
+        pins = self.pins_row(service)
+        for name, assignment in pins.units.items() if pins else ():
+            group, key = name.split("/", 1)
+            yield UnitId.pin(service, group, key), assignment
+
+    def take(self, rows: Iterable[Row], *, revision: int = 0, source: str) -> tuple[Row, ...]:
+        """Store rows that are newer than the known ones, and return those."""
+        newer = []
+        for row in rows:
+            if row.version <= self.version(row.key):
+                continue
+            self._rows[row.key] = row
+            self._by_part.setdefault(row.key.split("/", 1)[0], set()).add(row.key)
+            newer.append(row)
+            if row.key == CONFIG_KEY:
+                self._take_configuration(row, source)
+        self.revision = max(self.revision, revision)
+        if newer:
+            self.serial += 1
+        if newer or revision:
+            self._publish()
+        return tuple(newer)
+
+    async def wait_changed(self) -> None:
+        """Wait until a row changes."""
+        await self._changed.wait()
+
+    async def refresh(self) -> None:
+        """Read the table now. Raises ``PlatformUnavailableError``."""
+        since = self.revision
+        scan = await self._table.scan("", since=since)
+        self._take_scan(scan)
+
+    def poll_soon(self) -> None:
+        """Have the table polled without waiting for the interval."""
+        self._poll_now.set()
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        task_status.started()
+        while True:
+            await self._poll()
+            with trio.move_on_after(POLL_INTERVAL_S * random.uniform(0.8, 1.2)):
+                await self._poll_now.wait()
+            self._poll_now = trio.Event()
+
+    async def _poll(self) -> None:
+        try:
+            await self.refresh()
+        except PlatformError as exc:
+            if self.store_up or not self.complete:
+                log.warning("store is out of reach", step=exc.step, error=exc.message)
+            self.store_up = False
+            await self._ask_peers()
+            return
+        if not self.store_up:
+            log.info("store is reachable", revision=self.revision)
+        self.store_up = True
+        self.store_heard_at = self._clock.now()
+
+    async def _ask_peers(self) -> None:
+        ahead = [digest for digest in self._hub.digests() if digest.revision > self.revision]
+        if not ahead:
+            return
+        best = max(ahead, key=lambda digest: digest.revision)
+        try:
+            reply = await self._hub.call(
+                best.member, RowsSince(revision=self.revision), timeout=PEER_CALL_TIMEOUT_S
+            )
+        except PeerError as exc:
+            log.info("peer gave no rows", peer=best.member, error=exc.message)
+            return
+        if isinstance(reply, RowsPart):
+            self.take(reply.rows, revision=reply.revision, source=best.member)
+
+    async def _answer_rows_since(self, member: str, call: Call) -> Reply:
+        assert isinstance(call, RowsSince)
+        rows = tuple(row for row in self._rows.values() if row.revision > call.revision)
+        return RowsPart(rows=rows, revision=self.revision)
+
+    def _take_pushed(self, member: str, rows: tuple[Row, ...], revision: int) -> None:
+        newer = self.take(rows, revision=revision, source=member)
+        if newer:
+            self._hub.push_rows(newer)
+
+    def _take_scan(self, scan: Scan) -> None:
+        self.take(scan.rows, revision=scan.revision, source="store")
+
+    def _take_configuration(self, row: Row, source: str) -> None:
+        try:
+            self.configuration = Configuration(row=ConfigRow.from_json(row.value))
+        except (ConfigError, KeyError) as exc:
+            # Written past the checks of the operator API; the last valid one stays in force.
+            log.warning("configuration is invalid", version=row.version, error=str(exc))
+            return
+        log.info("configuration in force", version=self.configuration.version, source=source)
+
+    def _publish(self) -> None:
+        version = self.configuration.version if self.configuration else 0
+        self._hub.set_digest(config_version=version, revision=self.revision)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _typed(self, key: str, parse: Callable[[Any], T]) -> T | None:
+        row = self._rows.get(key)
+        if row is None:
+            return None
+        cached = self._parsed.get(key)
+        if cached is not None and cached[0] == row.version:
+            value: T = cached[1]
+            return value
+        try:
+            parsed = parse(row.value)
+        except (KeyError, ValueError, TypeError) as exc:
+            raise AcaciasaddleError(f"row is malformed: {exc}", step="mirror", peer=key) from exc
+        self._parsed[key] = (row.version, parsed)
+        return parsed
--- a/src/acaciasaddle/model/_rows.py
+++ b/src/acaciasaddle/model/_rows.py
@@ -29,11 +29,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRow:
-    """Who may order an upstream. ``successor`` is empty if there is none."""
+    """Who may order an upstream, by member id. ``successor`` is empty if there is none.
+
+    ``health`` is what the holder last saw: ``unknown``, ``ready`` or ``lost``.
+    """
 
     holder: str
     successor: str
     term: int
+    health: str
 
     def to_json(self, write_id: str) -> dict[str, Any]:
         """Return the JSON value."""
@@ -41,22 +45,33 @@
             "holder": self.holder,
             "successor": self.successor,
             "term": self.term,
+            "health": self.health,
             "write_id": write_id,
         }
 
     @classmethod
     def from_json(cls, value: JsonObject) -> UpstreamRow:
         """Read the JSON value."""
-        return cls(holder=value["holder"], successor=value["successor"], term=int(value["term"]))
+        return cls(
+            holder=value["holder"],
+            successor=value["successor"],
+            term=int(value["term"]),
+            health=value["health"],
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UnitAssignment:
-    """Owner of a unit. ``previous`` is set until its release by the previous owner is confirmed."""
+    """Owner of a unit. ``previous`` is set until its release by the previous owner is confirmed.
+
+    ``since`` is the time of day of the decision in seconds, ``reason`` says why it was made.
+    """
 
     owner: str
     previous: str
     epoch: int
+    since: int
+    reason: str
 
     @property
     def owner_id(self) -> UpstreamId:
@@ -65,12 +80,13 @@
 
     def to_json(self) -> list[Any]:
         """Return the JSON value."""
-        return [self.owner, self.previous, self.epoch]
+        return [self.owner, self.previous, self.epoch, self.since, self.reason]
 
     @classmethod
     def from_json(cls, value: list[Any]) -> UnitAssignment:
         """Read the JSON value."""
-        return cls(owner=value[0], previous=value[1], epoch=int(value[2]))
+        owner, previous, epoch, since, reason = value
+        return cls(owner=owner, previous=previous, epoch=epoch, since=since, reason=reason)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/acaciasaddle/ownership/_context.py
@@ -0,0 +1,63 @@
+"""What the tasks of ownership share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpcore
+
+from acaciasaddle.clock import Clock
+from acaciasaddle.dispatch import Dispatcher
+from acaciasaddle.mirror import Mirror
+from acaciasaddle.observe import Metrics
+from acaciasaddle.ownership._members import Members
+from acaciasaddle.ownership._placement import Placement
+from acaciasaddle.peers import PeerHub
+from acaciasaddle.platform import Table
+from acaciasaddle.platform import write_once
+
+if TYPE_CHECKING:
+    from acaciasaddle.config import Rules
+    from acaciasaddle.model import Row
+
+Puts = Mapping[str, Callable[[str], dict[str, Any]]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Context:
+    """Services that the tasks of ownership use."""
+
+    mirror: Mirror
+    hub: PeerHub
+    table: Table
+    clock: Clock
+    dispatcher: Dispatcher
+    members: Members
+    placement: Placement
+    metrics: Metrics
+    backend: httpcore.AsyncNetworkBackend
+
+    @property
+    def member(self) -> str:
+        """Member id of this host."""
+        return self.members.member
+
+    @property
+    def rules(self) -> Rules | None:
+        """Rules in force."""
+        cfg = self.mirror.configuration
+        return cfg.rules if cfg else None
+
+    async def write(self, *, conditions: Mapping[str, int], puts: Puts) -> tuple[Row, ...]:
+        """Write rows conditionally, take them into the mirror and push them to peers.
+
+        Raises ``PlatformError`` as ``write_once`` does.
+        """
+        result = await write_once(self.table, conditions=conditions, puts=puts)
+        self.mirror.take(result.rows, source="own write")
+        self.hub.push_rows(result.rows)
+        return result.rows
--- /dev/null
+++ b/src/acaciasaddle/ownership/_control.py
@@ -0,0 +1,132 @@
+"""Orders to one upstream over HTTP."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import httpcore
+import trio
+
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.errors import UpstreamUnreachableError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GrantState:
+    """An upstream's answer to an order. ``clock`` is its own clock reading in milliseconds.
+
+    ``instance`` names the upstream's process: a restarted one has another clock. ``accepted`` is
+    false if the upstream has seen a higher term.
+    """
+
+    accepted: bool
+    instance: str
+    clock: float
+    term: int
+    seq: int
+    valid_until: float
+    units: frozenset[str]
+    running: frozenset[str]
+    state: str
+
+
+class UpstreamControl:
+    """Sends orders over one connection that is replaced after any failure."""
+
+    def __init__(
+        self, *, address: str, backend: httpcore.AsyncNetworkBackend, timeout: float
+    ) -> None:
+        self._address = address
+        host, port = address.rsplit(":", 1)
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._backend = backend
+        self._timeout = timeout
+        self._conn: httpcore.AsyncHTTP11Connection | None = None
+
+    async def order(self, order: dict[str, Any]) -> GrantState:
+        """Send a grant. Raises ``UpstreamError`` if no valid answer comes in time."""
+        status, data = await self._request("POST", "/grant", json.dumps(order).encode())
+        if status not in (200, 409):
+            raise self._error(f"grant was answered with status {status}")
+        try:
+            value = json.loads(data)
+            return GrantState(
+                accepted=status == 200,
+                instance=str(value["instance"]),
+                clock=float(value["clock"]),
+                term=int(value["term"]),
+                seq=int(value["seq"]),
+                valid_until=float(value["valid_until"] or 0),
+                units=frozenset(value["units"]),
+                running=frozenset(value["running"]),
+                state=str(value["state"]),
+            )
+        except (ValueError, KeyError, TypeError) as exc:
+            raise self._error(f"grant was answered with a malformed body: {exc}") from exc
+
+    async def health(self) -> str:
+        """Return the state that the health endpoint reports, for upstreams without grants."""
+        status, data = await self._request("GET", "/health", b"")
+        if status != 200:
+            raise self._error(f"health was answered with status {status}")
+        try:
+            return str(json.loads(data).get("state", "ready"))
+        except (ValueError, AttributeError) as exc:
+            raise self._error("health was answered with a malformed body") from exc
+
+    async def close(self) -> None:
+        """Close the connection."""
+        conn, self._conn = self._conn, None
+        if conn is None:
+            return
+        with trio.CancelScope(shield=True), trio.move_on_after(1):
+            await conn.aclose()
+
+    async def _request(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        try:
+            with trio.fail_after(self._timeout):
+                conn = self._conn or await self._connect()
+                response = await conn.request(
+                    method,
+                    httpcore.URL(
+                        scheme=b"http",
+                        host=self._origin.host,
+                        port=self._origin.port,
+                        target=path.encode(),
+                    ),
+                    headers=[
+                        ("Host", self._address),
+                        ("Content-Type", "application/json"),
+                        ("Content-Length", str(len(body))),
+                    ],
+                    content=body,
+                )
+                return response.status, response.content
+        except (httpcore.ConnectError, httpcore.ConnectTimeout, ConnectionRefusedError) as exc:
+            await self.close()
+            raise UpstreamUnreachableError(
+                "upstream refuses connections",
+                outcome=Outcome.NOT_RUN,
+                step="grant.connect",
+                peer=self._address,
+            ) from exc
+        except (trio.TooSlowError, OSError, httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            await self.close()
+            raise self._error(f"order was not answered: {exc!r}") from exc
+        except trio.Cancelled:
+            await self.close()
+            raise
+
+    async def _connect(self) -> httpcore.AsyncHTTP11Connection:
+        host = self._origin.host.decode()
+        stream = await self._backend.connect_tcp(host, self._origin.port, timeout=self._timeout)
+        self._conn = httpcore.AsyncHTTP11Connection(origin=self._origin, stream=stream)
+        return self._conn
+
+    def _error(self, message: str) -> UpstreamError:
+        return UpstreamError(
+            message, outcome=Outcome.UNKNOWN, step="grant.order", peer=self._address
+        )
--- /dev/null
+++ b/src/acaciasaddle/ownership/_held.py
@@ -0,0 +1,481 @@
+"""One upstream that this host holds: its lease, its successor and its units."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from acaciasaddle.errors import AcaciasaddleError
+from acaciasaddle.errors import AuthorityLostError
+from acaciasaddle.errors import PeerError
+from acaciasaddle.errors import PlatformError
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.model import UpstreamRow
+from acaciasaddle.observe import get_logger
+from acaciasaddle.ownership._api import Permit
+from acaciasaddle.ownership._control import UpstreamControl
+from acaciasaddle.ownership._limits import AUTHORITY_S
+from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
+from acaciasaddle.ownership._limits import LEASE_S
+from acaciasaddle.ownership._limits import LOSS_GRACE_S
+from acaciasaddle.ownership._limits import ORDER_TIMEOUT_S
+from acaciasaddle.ownership._limits import RENEW_INTERVAL_S
+from acaciasaddle.ownership._limits import SUCCESSOR_SILENT_S
+from acaciasaddle.ownership._limits import at_least
+from acaciasaddle.ownership._limits import at_most
+from acaciasaddle.ownership._moves import UnitMoves
+from acaciasaddle.wire import Done
+from acaciasaddle.wire import Handover
+from acaciasaddle.wire import KeepRecords
+from acaciasaddle.wire import KeepRows
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from acaciasaddle.mirror import UpstreamInfo
+    from acaciasaddle.model import OnceRecord
+    from acaciasaddle.model import UnitId
+    from acaciasaddle.model import UpstreamId
+    from acaciasaddle.ownership._context import Context
+    from acaciasaddle.ownership._control import GrantState
+
+NEVER = float("-inf")
+SUCCESSOR_CHECK_S = 0.04
+REPLICATE_RETRY_S = 0.02
+REPLICATE_LIMIT_S = 1.0
+
+log = get_logger("lease")
+
+
+class HeldUpstream:
+    """This host's authority over one upstream.
+
+    ``lapsed_after`` is the reading of this host's clock after which no lease given by this or an
+    earlier holder can be in force any more. ``row_written`` is false while this host acts as
+    successor on the term after the row's.
+    """
+
+    def __init__(
+        self,
+        *,
+        info: UpstreamInfo,
+        term: int,
+        row_written: bool,
+        lapsed_after: float,
+        memory_since: float,
+        ctx: Context,
+    ) -> None:
+        self.info = info
+        self.id: UpstreamId = info.id
+        self.term = term
+        self.row_written = row_written
+        self.lapsed_after = lapsed_after
+        self.memory_since = memory_since
+        self.ended = trio.Event()
+        self.reachable = False
+        self.state = "unknown"
+        self.granted: frozenset[UnitId] = frozenset()
+        self.running: frozenset[str] = frozenset()
+        self.order_done = trio.Event()
+        self._ctx = ctx
+        self._seq = 0
+        self._known_to_upstream = False
+        self._instance = ""
+        self._accepted_term = term
+        self._reading: float | None = None
+        self._reading_sent_at = NEVER
+        self._reading_received_at = NEVER
+        self._in_force_until = NEVER
+        self._wake = trio.Event()
+        self._stopped = False
+        self.pending_successor = ""
+        self._row_lock = trio.Lock()
+        # An upstream that refuses nobody is left alone until an earlier holder has stopped.
+        self._not_before = NEVER if info.entry.checks_orders else lapsed_after
+        self._was_lost = False
+        self._control = UpstreamControl(
+            address=info.entry.address, backend=ctx.backend, timeout=ORDER_TIMEOUT_S
+        )
+        self.moves = UnitMoves(held=self, ctx=ctx)
+
+    @property
+    def successor(self) -> str:
+        """Member that vouches for this host; empty if there is none."""
+        if not self.row_written:
+            return ""
+        row = self._ctx.mirror.upstream_row(self.id)
+        return row.successor if row else ""
+
+    def in_authority(self) -> bool:
+        """Whether this host may order the upstream now."""
+        if self.ended.is_set() or self._stopped:
+            return False
+        successor = self.successor
+        if not successor:
+            rules = self._ctx.rules
+            limit = at_least(rules.isolation_limit_s) if rules else LEASE_S
+            return self._ctx.clock.now() < self._ctx.mirror.store_heard_at + limit
+        vouched = self._ctx.hub.vouched_at(successor)
+        return self._ctx.clock.now() < vouched + at_least(AUTHORITY_S)
+
+    def may_dispatch(self, unit: UnitId) -> bool:
+        """Whether requests of the unit may be sent to the upstream now."""
+        if unit not in self.granted or self.moves.is_leaving(unit) or not self.in_authority():
+            return False
+        return self._ctx.clock.now() < self._in_force_until
+
+    def permit(self) -> Permit:
+        """Return what a request to the upstream has to carry."""
+        entry = self.info.entry
+        reading = self._reading or 0.0
+        return Permit(
+            term=self._accepted_term,
+            address=entry.address,
+            slots=entry.slots,
+            connections=entry.connections,
+            checks_orders=entry.checks_orders,
+            clock_offset_ms=reading - self._reading_received_at * 1000 if self._reading else 0.0,
+        )
+
+    def lease_lapsed(self) -> bool:
+        """Whether no lease of the upstream can be in force any more."""
+        return self._ctx.clock.now() > self.lapsed_after
+
+    def lost(self) -> bool:
+        """Whether the upstream is to be treated as lost."""
+        overdue = self._ctx.clock.now() > self.lapsed_after + LOSS_GRACE_S
+        return overdue and not self.reachable
+
+    def end(self, reason: str) -> None:
+        """Give up the upstream."""
+        if self.ended.is_set():
+            return
+        log.info("upstream is given up", upstream=str(self.id), term=self.term, reason=reason)
+        self.ended.set()
+        for unit in self.granted:
+            self._ctx.dispatcher.reject(unit)
+
+    def forget_grants(self, units: Iterable[UnitId]) -> None:
+        """Take note that the upstream has these units no longer."""
+        self.granted = self.granted.difference(units)
+
+    def wake(self) -> None:
+        """Send the next order at once."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renew the lease, keep a successor and move units until the upstream is given up."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._renew)
+            nursery.start_soon(self._keep_row)
+            nursery.start_soon(self.moves.run)
+            await self.ended.wait()
+            nursery.cancel_scope.cancel()
+        await self._control.close()
+
+    async def hand_over(self) -> bool:
+        """Stop ordering and have the successor take over; returns whether it did."""
+        successor = self.successor
+        if not successor:
+            return False
+        self._stopped = True
+        try:
+            reply = await self._ctx.hub.call(
+                successor, Handover(upstream=self.id, term=self.term), timeout=CALL_TIMEOUT_S
+            )
+        except PeerError as exc:
+            log.info("handover failed", upstream=str(self.id), peer=exc.peer, error=exc.message)
+            # The successor may have taken over without its reply getting here. The voucher
+            # and the upstream's fence decide; renewing again at the old term is safe.
+            self._stopped = False
+            return False
+        if not isinstance(reply, Done):
+            self._stopped = False
+            return False
+        self.end(f"handed over to {successor}")
+        return True
+
+    async def replicate(self, records: tuple[OnceRecord, ...]) -> None:
+        """Copy records to the successor. Raises ``AuthorityLostError``."""
+        deadline = self._ctx.clock.now() + REPLICATE_LIMIT_S
+        while True:
+            successor = self.successor
+            targets = {m for m in (successor, self.pending_successor) if m}
+            if self.ended.is_set():
+                break
+            if not targets:
+                return
+            failed = [m for m in targets if not await self._keep(m, records, complete=False)]
+            if self.pending_successor in failed:
+                self.pending_successor = ""
+            if successor == self.successor and successor not in failed:
+                return
+            if self._ctx.clock.now() > deadline:
+                break
+            await trio.sleep(REPLICATE_RETRY_S)
+        raise AuthorityLostError(
+            "records could not be replicated", step="once.replicate", peer=str(self.id)
+        )
+
+    # Lease
+
+    async def _renew(self) -> None:
+        while True:
+            started = self._ctx.clock.now()
+            if self.in_authority():
+                await self._order()
+            if self.lost() and not self._was_lost:
+                log.warning("upstream is lost", upstream=str(self.id), term=self.term)
+                self._ctx.dispatcher.upstream_lost(self.id)
+            self._was_lost = self.lost()
+            self._wake = trio.Event()
+            if self.moves.wanted() != self.granted and self.reachable:
+                self._wake.set()
+            pause = started + RENEW_INTERVAL_S - self._ctx.clock.now()
+            with trio.move_on_after(max(pause, 0.005)):
+                await self._wake.wait()
+
+    async def _order(self) -> None:
+        if not self.info.entry.checks_orders:
+            await self._probe()
+            return
+        wanted = self.moves.wanted()
+        self._seq += 1
+        sent_at = self._ctx.clock.now()
+        valid_until = None
+        if self._reading is not None:
+            valid_until = self._reading + LEASE_S * 1000
+            # Noted before the order is sent: it may take effect although no answer comes.
+            self.lapsed_after = max(self.lapsed_after, self._reading_received_at + at_most(LEASE_S))
+        replace = not self._known_to_upstream or wanted != self.granted
+        order = self._order_body(valid_until, wanted if replace else None)
+        try:
+            state = await self._control.order(order)
+        except UpstreamError as exc:
+            self._unreachable(exc)
+            return
+        self._answered(state, wanted, valid_until, sent_at)
+
+    def _order_body(self, valid_until: float | None, units: frozenset[UnitId] | None) -> Any:
+        body: dict[str, Any] = {
+            "holder": self._ctx.member,
+            "term": self.term,
+            "seq": self._seq,
+            "instance": self._instance,
+            "valid_until": valid_until,
+            "units": None,
+            "excluded": [],
+        }
+        if units is not None and valid_until is not None:
+            body["units"] = sorted(str(unit) for unit in units)
+            body["excluded"] = sorted(str(unit) for unit in self.moves.excluded(units))
+        return body
+
+    def _answered(
+        self,
+        state: GrantState,
+        wanted: frozenset[UnitId],
+        valid_until: float | None,
+        sent_at: float,
+    ) -> None:
+        now = self._ctx.clock.now()
+        remaining = max(state.valid_until - state.clock, 0.0) / 1000
+        if not state.accepted and state.term > self.term:
+            self.end(f"the upstream has accepted term {state.term}")
+            return
+        if not state.accepted:
+            # This host held the upstream before at this term, and counts on from there.
+            self._seq = max(self._seq, state.seq)
+            return
+        if not self.reachable:
+            log.info("upstream answers", upstream=str(self.id), term=self.term, state=state.state)
+        self.reachable = True
+        self.state = state.state
+        self._accepted_term = state.term
+        self.running = state.running
+        if self._instance != state.instance:
+            # First contact, or a restarted process with another clock. What an earlier holder
+            # granted ends at the latest when the upstream says, since its term is now refused.
+            self.lapsed_after = now + at_most(remaining)
+            self._instance = state.instance
+            self._known_to_upstream = False
+            self.granted = frozenset()
+            valid_until = None
+        if valid_until is not None and state.valid_until == valid_until:
+            in_effect = state.valid_until > state.clock
+            self.granted = wanted if in_effect else frozenset()
+            self._known_to_upstream = in_effect
+            self._in_force_until = self._reading_sent_at + at_least(LEASE_S)
+        self._reading = state.clock
+        self._reading_sent_at = sent_at
+        self._reading_received_at = now
+        if valid_until is None:
+            self._wake.set()
+        self.order_done.set()
+        self.order_done = trio.Event()
+
+    async def _probe(self) -> None:
+        """Check an upstream that takes no grants; the authority itself is the ownership."""
+        try:
+            self.state = await self._control.health()
+        except UpstreamError as exc:
+            self._unreachable(exc)
+            return
+        now = self._ctx.clock.now()
+        self.reachable = True
+        if now < self._not_before:
+            return
+        self.granted = self.moves.wanted()
+        self.running = frozenset()
+        self._in_force_until = now + LEASE_S
+        self.lapsed_after = now + LEASE_S
+        self.order_done.set()
+        self.order_done = trio.Event()
+
+    def _unreachable(self, exc: UpstreamError) -> None:
+        if self.reachable:
+            log.warning(
+                "upstream does not answer",
+                upstream=str(self.id),
+                step=exc.step,
+                error=exc.message,
+            )
+        self.reachable = False
+        # A lost answer leaves open which units the upstream knows.
+        self._known_to_upstream = False
+
+    # Row: successor and health
+
+    async def _keep_row(self) -> None:
+        while True:
+            await trio.sleep(SUCCESSOR_CHECK_S)
+            try:
+                if not self.row_written:
+                    self.row_written = await self._write_row(successor="", bump=True)
+                    continue
+                await self._check_successor()
+                await self._check_health()
+            except PlatformError as exc:
+                log.info("row is not written", upstream=str(self.id), error=str(exc))
+                self._ctx.mirror.poll_soon()
+                await trio.sleep(RENEW_INTERVAL_S)
+
+    async def _check_health(self) -> None:
+        row = self._ctx.mirror.upstream_row(self.id)
+        if row is None or row.holder != self._ctx.member:
+            return
+        health = "ready" if self.reachable else "lost" if self.lost() else row.health
+        if health != row.health:
+            await self._write_row(successor=row.successor, health=health, bump=False)
+
+    async def _check_successor(self) -> None:
+        hub = self._ctx.hub
+        current = self.successor
+        silent = self._ctx.clock.now() - hub.vouched_at(current) if current else 0.0
+        if current and silent < SUCCESSOR_SILENT_S:
+            return
+        for candidate in self._successor_candidates(current):
+            if await self.change_successor(candidate):
+                return
+        if current and self._ctx.clock.now() - hub.vouched_at(current) > SUCCESSOR_SILENT_S:
+            await self._write_row(successor="", bump=True)
+
+    async def change_successor(self, member: str) -> bool:
+        """Name another successor; returns whether the row does. Raises ``PlatformError``."""
+        try:
+            prepared = await self._prepare_successor(member)
+            return prepared and await self._write_row(successor=member, bump=True)
+        finally:
+            self.pending_successor = ""
+
+    def _successor_candidates(self, current: str) -> list[str]:
+        members = self._ctx.members
+        live = members.live(members.data_centre)
+        others = [m for m in live if m not in (self._ctx.member, current)]
+        index = live.index(self._ctx.member)
+        # The next members in order, so that a host has few distinct successors.
+        return sorted(others, key=lambda m: (live.index(m) - index) % len(live))[:2]
+
+    async def _prepare_successor(self, member: str) -> bool:
+        """Bring a future successor up to date; returns whether it is."""
+        hub = self._ctx.hub
+        asked_at = self._ctx.clock.now()
+        self.pending_successor = member
+        hub.set_partners(self._ctx.members.partners | {member})
+        with trio.move_on_after(AUTHORITY_S):
+            while hub.vouched_at(member) < asked_at:
+                await trio.sleep(0.005)
+        if hub.vouched_at(member) < asked_at:
+            return False
+        records = self._ctx.dispatcher.export_records(self.id, None)
+        return await self._keep(member, records, complete=True) and await self.keep_rows(member)
+
+    async def keep_rows(self, member: str) -> bool:
+        """Have a successor take this upstream's service's rows; returns whether it did."""
+        if not member:
+            return True
+        mirror = self._ctx.mirror
+        prefix = f"units/{self.id.service}/"
+        rows = [row for row in mirror.below("units") if row.key.startswith(prefix)]
+        rows.extend(row for row in mirror.below("pins") if row.key == f"pins/{self.id.service}")
+        try:
+            reply = await self._ctx.hub.call(
+                member, KeepRows(rows=tuple(rows)), timeout=CALL_TIMEOUT_S
+            )
+        except PeerError:
+            return False
+        return isinstance(reply, Done)
+
+    async def _keep(self, member: str, records: tuple[OnceRecord, ...], *, complete: bool) -> bool:
+        call = KeepRecords(
+            upstream=self.id,
+            term=self.term,
+            records=records,
+            complete=complete,
+            memory_since_ms=max(int(self._ctx.dispatcher.memory_since(self.id) * 1000), 0),
+        )
+        try:
+            reply = await self._ctx.hub.call(member, call, timeout=CALL_TIMEOUT_S)
+        except AcaciasaddleError:
+            return False
+        return isinstance(reply, Done)
+
+    async def _write_row(self, *, successor: str, bump: bool, health: str = "") -> bool:
+        """Write the row if this host may; returns whether it did. Raises ``PlatformError``."""
+        async with self._row_lock:
+            old = self._ctx.mirror.upstream_row(self.id)
+            if old is None or not self._entitled(old):
+                self.end("the row does not name this host")
+                return False
+            await self._write_row_over(old, successor=successor, bump=bump, health=health)
+            return True
+
+    def _entitled(self, row: UpstreamRow) -> bool:
+        if self.row_written:
+            return row.holder == self._ctx.member
+        return row.successor == self._ctx.member and row.term == self.term - 1
+
+    async def _write_row_over(
+        self, old: UpstreamRow, *, successor: str, bump: bool, health: str
+    ) -> None:
+        mirror = self._ctx.mirror
+        # Odd terms belong to successors that act before the row names them as holder.
+        term = (old.term + 2) if bump else old.term
+        row = UpstreamRow(
+            holder=self._ctx.member,
+            successor=successor,
+            term=term,
+            health=health or old.health,
+        )
+        key = self.id.row_key
+        await self._ctx.write(conditions={key: mirror.version(key)}, puts={key: row.to_json})
+        self.term = term
+        log.info(
+            "upstream row is written",
+            upstream=str(self.id),
+            term=term,
+            successor=successor,
+            health=row.health,
+        )
--- /dev/null
+++ b/src/acaciasaddle/ownership/_moves.py
@@ -0,0 +1,379 @@
+"""Moves of units from and to an upstream that this host holds."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from acaciasaddle.errors import PeerError
+from acaciasaddle.errors import PlatformError
+from acaciasaddle.model import PinsRow
+from acaciasaddle.model import UnitAssignment
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UnitsRow
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.observe import get_logger
+from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
+from acaciasaddle.ownership._limits import DRAIN_LIMIT_S
+from acaciasaddle.ownership._limits import MOVE_BATCH
+from acaciasaddle.ownership._limits import REBALANCE_INTERVAL_S
+from acaciasaddle.ownership._placement import Move
+from acaciasaddle.wire import AskRelease
+from acaciasaddle.wire import Done
+from acaciasaddle.wire import Release
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from acaciasaddle.ownership._context import Context
+    from acaciasaddle.ownership._held import HeldUpstream
+
+CHECK_INTERVAL_S = 0.05
+ASK_INTERVAL_S = 0.1
+
+log = get_logger("placement")
+
+
+class UnitMoves:
+    """Decides which units an upstream is granted, and moves units away from it.
+
+    A moved unit passes through three steps that survive the loss of either holder: the row
+    names the new owner and the previous one; the previous owner's holder confirms the release;
+    the new owner's holder clears the previous owner from the row.
+    """
+
+    def __init__(self, *, held: HeldUpstream, ctx: Context) -> None:
+        self._held = held
+        self._ctx = ctx
+        self._confirmed: dict[UnitId, int] = {}
+        self._released: dict[UnitId, int] = {}
+        self._leaving: set[UnitId] = set()
+        self._asked_at: dict[UnitId, float] = {}
+        self._rebalanced_at = float("-inf")
+        self._view: tuple[int, dict[UnitId, UnitAssignment]] = (-1, {})
+
+    def is_leaving(self, unit: UnitId) -> bool:
+        """Whether the unit is being released."""
+        return unit in self._leaving
+
+    def wanted(self) -> frozenset[UnitId]:
+        """Return the units that the upstream should be granted now."""
+        mine = str(self._held.id)
+        found = set()
+        for unit, assignment in self._own().items():
+            if unit in self._leaving:
+                continue
+            if assignment.owner == mine:
+                if not assignment.previous or self._is_confirmed(unit, assignment):
+                    found.add(unit)
+            elif unit in self._held.granted and unit not in self._released:
+                found.add(unit)
+        return frozenset(found)
+
+    def excluded(self, units: Iterable[UnitId]) -> list[UnitId]:
+        """Return the pinned keys that granted shards of the service do not contain."""
+        service = self._held.id.service
+        pins = self._ctx.mirror.pins_row(service)
+        if pins is None:
+            return []
+        granted = set(units)
+        names = (name.split("/", 1) for name in pins.units)
+        all_pins = (UnitId.pin(service, group, key) for group, key in names)
+        return [pin for pin in all_pins if pin not in granted]
+
+    def confirm(self, units: Sequence[UnitId], epochs: Sequence[int]) -> None:
+        """Take note that the previous owners have released these units."""
+        self._confirmed.update(zip(units, epochs, strict=True))
+        self._held.wake()
+
+    def release_again(self, units: Iterable[UnitId]) -> None:
+        """Send the release of these units once more."""
+        for unit in units:
+            self._released.pop(unit, None)
+
+    async def run(self) -> None:
+        """Move units until cancelled."""
+        while True:
+            try:
+                await self._release_outgoing()
+                await self._ask_for_incoming()
+                await self._clear_previous()
+                await self._decide()
+            except PlatformError as exc:
+                log.info("move waits", upstream=str(self._held.id), error=str(exc))
+                self._ctx.mirror.poll_soon()
+                await trio.sleep(CHECK_INTERVAL_S)
+            with trio.move_on_after(CHECK_INTERVAL_S):
+                await self._ctx.mirror.wait_changed()
+
+    def _own(self) -> dict[UnitId, UnitAssignment]:
+        """Return the units that this upstream owns or owned last."""
+        serial = self._ctx.mirror.serial
+        if self._view[0] != serial:
+            mine = str(self._held.id)
+            view = {
+                unit: assignment
+                for unit, assignment in self._ctx.mirror.assignments(self._held.id.service)
+                if mine in (assignment.owner, assignment.previous)
+            }
+            self._view = (serial, view)
+        return self._view[1]
+
+    def _is_confirmed(self, unit: UnitId, assignment: UnitAssignment) -> bool:
+        return self._confirmed.get(unit) == assignment.epoch
+
+    # Release of units that the rows give to another upstream
+
+    async def _release_outgoing(self) -> None:
+        mine = str(self._held.id)
+        outgoing = {
+            unit: assignment
+            for unit, assignment in self._own().items()
+            if assignment.previous == mine
+            and assignment.owner != mine
+            and self._released.get(unit) != assignment.epoch
+        }
+        if not outgoing:
+            self._forget_released()
+            return
+        # A successor must never know less than what this host acts on.
+        if not await self._held.keep_rows(self._held.successor):
+            return
+        # Before the check, so that no order grants the units again if the upstream returns.
+        self._leaving.update(outgoing)
+        if self._held.lost():
+            self._held.forget_grants(outgoing)
+            await self._send_releases(outgoing)
+            self._settle(outgoing)
+            return
+        self._leaving.difference_update(outgoing)
+        batch = self._without_bulky(outgoing)
+        for unit in batch:
+            self._ctx.dispatcher.hold(unit)
+        drained = await self._drain(batch)
+        self._leaving.update(drained)
+        if await self._revoked(drained):
+            self._held.forget_grants(drained)
+            await self._send_releases({unit: outgoing[unit] for unit in drained})
+        self._settle(batch)
+
+    def _settle(self, units: Iterable[UnitId]) -> None:
+        """Let waiting requests of released units go to the new holder, and others go on."""
+        for unit in units:
+            if unit in self._released:
+                self._ctx.dispatcher.reject(unit)
+            else:
+                self._ctx.dispatcher.resume(unit)
+            self._leaving.discard(unit)
+
+    def _without_bulky(self, outgoing: Mapping[UnitId, UnitAssignment]) -> list[UnitId]:
+        idle = [u for u in outgoing if self._ctx.dispatcher.bulky_running(u) == 0]
+        return idle[:MOVE_BATCH]
+
+    async def _drain(self, units: Sequence[UnitId]) -> list[UnitId]:
+        drained: list[UnitId] = []
+
+        async def wait(unit: UnitId) -> None:
+            await self._ctx.dispatcher.drained(unit)
+            drained.append(unit)
+
+        with trio.move_on_after(DRAIN_LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                for unit in units:
+                    nursery.start_soon(wait, unit)
+        return list(drained)
+
+    async def _revoked(self, units: Sequence[UnitId]) -> bool:
+        """Wait until the upstream has no grant for the units and runs none of their requests."""
+        names = {str(unit) for unit in units}
+        with trio.move_on_after(DRAIN_LIMIT_S):
+            while not self._held.lost():
+                done = self._held.order_done
+                self._held.wake()
+                await done.wait()
+                if not names & self._held.running and not set(units) & self._held.granted:
+                    return True
+        return self._held.lost()
+
+    async def _send_releases(self, units: Mapping[UnitId, UnitAssignment]) -> None:
+        by_owner: dict[UpstreamId, list[UnitId]] = {}
+        for unit, assignment in units.items():
+            by_owner.setdefault(assignment.owner_id, []).append(unit)
+        for owner, members in by_owner.items():
+            if await self._send_release(owner, members, units):
+                for unit in members:
+                    self._released[unit] = units[unit].epoch
+
+    async def _send_release(
+        self, owner: UpstreamId, units: list[UnitId], epochs: Mapping[UnitId, UnitAssignment]
+    ) -> bool:
+        row = self._ctx.mirror.upstream_row(owner)
+        if row is None:
+            return False
+        call = Release(
+            previous=self._held.id,
+            upstream=owner,
+            units=tuple(units),
+            epochs=tuple(epochs[unit].epoch for unit in units),
+            records=self._ctx.dispatcher.export_records(self._held.id, units),
+            memory_since_ms=max(int(self._ctx.dispatcher.memory_since(self._held.id) * 1000), 0),
+        )
+        try:
+            reply = await self._ctx.hub.call(row.holder, call, timeout=CALL_TIMEOUT_S)
+        except PeerError as exc:
+            log.info("release is not delivered", upstream=str(owner), error=str(exc))
+            return False
+        log.info(
+            "units are released",
+            upstream=str(self._held.id),
+            to=str(owner),
+            units=[str(unit) for unit in units],
+        )
+        return isinstance(reply, Done)
+
+    def _forget_released(self) -> None:
+        own = self._own()
+        for unit in [u for u in self._released if u not in own]:
+            del self._released[unit]
+
+    # Units that the rows give to this upstream
+
+    async def _ask_for_incoming(self) -> None:
+        now = self._ctx.clock.now()
+        by_previous: dict[UpstreamId, list[UnitId]] = {}
+        for unit, assignment in self._own().items():
+            waiting = assignment.owner == str(self._held.id) and assignment.previous
+            if not waiting or self._is_confirmed(unit, assignment):
+                continue
+            # The release normally comes unasked; the first question waits an interval.
+            if now - self._asked_at.setdefault(unit, now) < ASK_INTERVAL_S:
+                continue
+            self._asked_at[unit] = now
+            by_previous.setdefault(UpstreamId.parse(assignment.previous), []).append(unit)
+        for previous, units in by_previous.items():
+            row = self._ctx.mirror.upstream_row(previous)
+            if row is None:
+                continue
+            call = AskRelease(previous=previous, upstream=self._held.id, units=tuple(units))
+            try:
+                await self._ctx.hub.call(row.holder, call, timeout=CALL_TIMEOUT_S)
+            except PeerError as exc:
+                log.info("release is not answered", upstream=str(previous), error=str(exc))
+
+    async def _clear_previous(self) -> None:
+        done = {
+            unit: assignment
+            for unit, assignment in self._own().items()
+            if assignment.owner == str(self._held.id)
+            and assignment.previous
+            and self._is_confirmed(unit, assignment)
+            and unit in self._held.granted
+        }
+        if not done or not self._held.row_written:
+            return
+        changes = {
+            unit: UnitAssignment(
+                owner=old.owner, previous="", epoch=old.epoch, since=old.since, reason=old.reason
+            )
+            for unit, old in done.items()
+        }
+        await self._write(changes)
+        for unit in changes:
+            self._confirmed.pop(unit, None)
+            self._asked_at.pop(unit, None)
+
+    # Decisions
+
+    async def _decide(self) -> None:
+        if not self._held.row_written:
+            return
+        if self._held.lost():
+            await self._move_all("upstream lost")
+            return
+        cfg = self._ctx.mirror.configuration
+        info = cfg.upstreams.get(self._held.id) if cfg else None
+        if info is None or info.entry.state == "leaving" or self._held.state == "leaving":
+            await self._move_all("upstream leaving")
+            return
+        now = self._ctx.clock.now()
+        if now - self._rebalanced_at < REBALANCE_INTERVAL_S:
+            return
+        self._rebalanced_at = now
+        movable = self._movable()
+        moves = self._ctx.placement.surplus(self._held.id, MOVE_BATCH)
+        await self._move([move for move in moves if move.unit in movable])
+
+    def _movable(self) -> dict[UnitId, UnitAssignment]:
+        """Return units that are this upstream's for certain."""
+        return {
+            unit: assignment
+            for unit, assignment in self._own().items()
+            if assignment.owner == str(self._held.id)
+            and (not assignment.previous or self._is_confirmed(unit, assignment))
+        }
+
+    async def _move_all(self, reason: str) -> None:
+        moves = []
+        for unit in self._movable():
+            target = self._ctx.placement.choose(unit, without=(self._held.id,))
+            if target is not None:
+                moves.append(Move(unit=unit, target=target, reason=reason))
+        await self._move(moves)
+
+    async def _move(self, moves: Sequence[Move]) -> None:
+        if not moves:
+            return
+        own = self._own()
+        changes = {
+            move.unit: UnitAssignment(
+                owner=str(move.target),
+                previous=str(self._held.id),
+                epoch=own[move.unit].epoch + 1,
+                since=int(time.time()),
+                reason=move.reason,
+            )
+            for move in moves
+        }
+        await self._write(changes)
+        self._ctx.metrics.count("placement.moves", len(moves))
+        for move in moves:
+            log.info(
+                "unit moves",
+                unit=str(move.unit),
+                source=str(self._held.id),
+                target=str(move.target),
+                reason=move.reason,
+            )
+
+    async def _write(self, changes: Mapping[UnitId, UnitAssignment]) -> None:
+        """Write assignments, provided that this host still holds the upstream by its row."""
+        mirror = self._ctx.mirror
+        held_key = self._held.id.row_key
+        row = mirror.upstream_row(self._held.id)
+        if row is None or row.holder != self._ctx.member:
+            return
+        conditions = {held_key: mirror.version(held_key)}
+        puts: dict[str, Any] = {}
+        by_row: dict[str, dict[UnitId, UnitAssignment]] = {}
+        for unit, assignment in changes.items():
+            by_row.setdefault(unit.row_key, {})[unit] = assignment
+        for key, units in by_row.items():
+            conditions[key] = mirror.version(key)
+            puts[key] = self._changed_row(key, units)
+        await self._ctx.write(conditions=conditions, puts=puts)
+
+    def _changed_row(self, key: str, units: Mapping[UnitId, UnitAssignment]) -> Any:
+        mirror = self._ctx.mirror
+        if key.startswith("pins/"):
+            pins = mirror.pins_row(self._held.id.service) or PinsRow(units={})
+            by_name = {f"{unit.group}/{unit.key}": a for unit, a in units.items()}
+            return PinsRow(units={**pins.units, **by_name}).to_json
+        row = mirror.units_row(key)
+        assert row is not None
+        by_shard = {unit.shard: assignment for unit, assignment in units.items()}
+        return UnitsRow(shards=row.shards, units={**row.units, **by_shard}).to_json
--- /dev/null
+++ b/src/acaciasaddle/ownership/_placement.py
@@ -0,0 +1,117 @@
+"""Placement: which upstream should own a unit."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.ownership._rendezvous import rendezvous_owner
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from acaciasaddle.mirror import Configuration
+    from acaciasaddle.mirror import Mirror
+    from acaciasaddle.mirror import UpstreamInfo
+
+# An upstream gives units away only above this part of its fair share, so that counts
+# that differ by a few units cause no moves.
+OVERFULL = 1.1
+UNDERFULL = 0.9
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Move:
+    """A decision to move a unit."""
+
+    unit: UnitId
+    target: UpstreamId
+    reason: str
+
+
+class Placement(ABC):
+    """Chooses owners of units."""
+
+    @abstractmethod
+    def choose(self, unit: UnitId, *, without: Collection[UpstreamId]) -> UpstreamId | None:
+        """Return the best owner of a unit, or ``None`` if no upstream may own it."""
+
+    @abstractmethod
+    def surplus(self, upstream: UpstreamId, limit: int) -> list[Move]:
+        """Return at most ``limit`` moves that bring an upstream down to its fair share."""
+
+
+class RendezvousPlacement(Placement):
+    """Weighted rendezvous hashing by slots, corrected by fair shares of the number of units."""
+
+    def __init__(self, *, mirror: Mirror) -> None:
+        self._mirror = mirror
+
+    def choose(self, unit: UnitId, *, without: Collection[UpstreamId]) -> UpstreamId | None:
+        cfg = self._mirror.configuration
+        if cfg is None:
+            return None
+        candidates = [
+            (str(info.id), float(info.entry.slots))
+            for info in self._usable(cfg, unit.service, unit.group)
+            if info.id not in without
+        ]
+        if not candidates:
+            return None
+        return UpstreamId.parse(rendezvous_owner(str(unit), candidates))
+
+    def surplus(self, upstream: UpstreamId, limit: int) -> list[Move]:
+        cfg = self._mirror.configuration
+        if cfg is None:
+            return []
+        moves: list[Move] = []
+        for service, group, _ in cfg.groups():
+            if service == upstream.service:
+                moves.extend(self._group_surplus(cfg, upstream, group, limit - len(moves)))
+        return moves
+
+    def _group_surplus(
+        self, cfg: Configuration, upstream: UpstreamId, group: str, limit: int
+    ) -> Iterator[Move]:
+        usable = {info.id: info for info in self._usable(cfg, upstream.service, group)}
+        if upstream not in usable or len(usable) < 2:
+            return
+        owned: dict[UpstreamId, list[UnitId]] = {uid: [] for uid in usable}
+        total = 0
+        for unit, assignment in self._mirror.assignments(upstream.service):
+            if unit.group != group or unit.is_pin:
+                continue
+            total += 1
+            if assignment.owner_id in owned:
+                owned[assignment.owner_id].append(unit)
+        fair = _fair_shares(usable, total)
+        count = {uid: len(units) for uid, units in owned.items()}
+        for unit in owned[upstream]:
+            if limit <= 0 or count[upstream] <= fair[upstream] * OVERFULL + 1:
+                return
+            poorest = min(count, key=lambda uid: (count[uid] / fair[uid], str(uid)))
+            if count[poorest] >= fair[poorest] * UNDERFULL:
+                return
+            count[upstream] -= 1
+            count[poorest] += 1
+            limit -= 1
+            yield Move(unit=unit, target=poorest, reason="rebalance")
+
+    def _usable(self, cfg: Configuration, service: str, group: str) -> list[UpstreamInfo]:
+        found = []
+        for info in cfg.candidates(service, group):
+            row = self._mirror.upstream_row(info.id)
+            if row is not None and row.health == "ready":
+                found.append(info)
+        return found
+
+
+def _fair_shares(usable: Mapping[UpstreamId, UpstreamInfo], total: int) -> dict[UpstreamId, float]:
+    slots = sum(info.entry.slots for info in usable.values())
+    return {uid: total * info.entry.slots / slots for uid, info in usable.items()}
--- a/src/acaciasaddle/peers/_api.py
+++ b/src/acaciasaddle/peers/_api.py
@@ -20,6 +20,7 @@
     from acaciasaddle.model import Row
     from acaciasaddle.model import WorkRequest
     from acaciasaddle.wire import Call
+    from acaciasaddle.wire import Hello
     from acaciasaddle.wire import Reply
 
 WorkHandler = Callable[["WorkRequest", "BodySource", "ReplySink"], Awaitable[None]]
@@ -111,6 +112,13 @@
     def on_work(self, handler: WorkHandler) -> None:
         """Register the handler of requests from peers."""
 
+    @abstractmethod
+    async def identify(self, address: str) -> Hello:
+        """Return what the host at an address says of itself, for seeds of unknown member id.
+
+        Raises ``PeerUnreachableError`` or ``PeerProtocolError``.
+        """
+
     @abstractmethod
     def push_rows(self, rows: Iterable[Row], *, revision: int = 0) -> None:
         """Send rows to all connected peers without waiting.
