Add checker and tests of the emulator

Cause: violations of the promises have to be found from records, and the stand-ins must not be more lenient than the protocol.

--- /dev/null
+++ b/features/emulator/load.feature
@@ -0,0 +1,30 @@
+Feature: Load tool
+  Guards against results that count wrong, foreign or missing answers as completed.
+
+  Scenario: all answers of a working host are completed, and the record matches the runs
+    Given a load of 40 lookups and 40 deposits per second for 1 s
+    When the load is sent to a working host
+    Then the load's lookups are all "completed" and its deposits are all "completed"
+    And the checker finds nothing in the records of the load
+    And the load's idempotency keys are UUIDv7 of now, each used for one deposit
+
+  Scenario: a deposit refused by one host is repeated through another with the same key
+    Given a load of 1 lookups and 40 deposits per second for 1 s
+    When the load is sent to a shedding host and a working host
+    Then the load's deposits are all "completed"
+    And at least one deposit of the load was refused before
+    And the checker finds nothing in the records of the load
+
+  Scenario: a deposit without an answer is never reported as not run
+    Given a load of 1 lookups and 40 deposits per second for 1 s
+    When the load is sent to a host that sheds and a host that closes connections
+    Then the load's deposits end as "no-answer, not-run" by the host that was asked last
+
+  Scenario: an answer to another request is noticed
+    Given a load of 40 lookups and 1 deposits per second for 1 s
+    When the load is sent to a host that mixes up answers
+    Then the load's lookups are all "foreign"
+
+  Scenario: requests are planned alike for one seed, and hot keys draw their share
+    Then 10000 keys of the load with a hot share of 0.3 contain the hot key 2800 to 3200 times
+    And the load's zipf keys draw the first key most often
--- /dev/null
+++ b/features/steps/emulator_load_steps.py
@@ -0,0 +1,197 @@
+"""Steps of emulator/load.feature."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from collections import Counter
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.emulator import LoadRunner
+from acaciasaddle.emulator import SeenOutcome
+from acaciasaddle.emulator import UpstreamApp
+from acaciasaddle.emulator import UpstreamModel
+from acaciasaddle.emulator import UpstreamSettings
+from acaciasaddle.emulator import check
+from acaciasaddle.emulator import parse_workload
+from acaciasaddle.emulator import start_server
+from acaciasaddle.emulator._asgi import AsgiApp
+from acaciasaddle.emulator._workload import HotKey
+from acaciasaddle.emulator._workload import KeyDistribution
+from acaciasaddle.emulator._workload import KeyPicker
+
+if TYPE_CHECKING:
+    from acaciasaddle.emulator._asgi import Exchange
+
+WORKLOAD = """
+{{
+  duration_s: {duration}, repeats: 1, repeat_delay_s: 0, caller_header: "X-Client-Id",
+  kinds: [
+    {{name: "lookup", path: "/b/{{key}}", rate: {lookups}, rank: "urgent", target_ms: 5000}},
+    // Repeated once.
+    {{name: "deposit", method: "POST", path: "/b/{{key}}", rate: {deposits}, rank: "urgent",
+      target_ms: 5000, once: true, body_bytes: 70000, reply_bytes: 100000}},
+  ],
+}}
+"""
+
+
+class ClosingApp(AsgiApp):
+    """Closes connections without an answer."""
+
+    async def handle(self, exchange: Exchange) -> None:
+        await exchange.discard()
+        await exchange.close_without_answer()
+
+
+class MixingApp(AsgiApp):
+    """Answers with the path of another request."""
+
+    async def handle(self, exchange: Exchange) -> None:
+        await exchange.discard()
+        await exchange.answer_json(200, {"path": exchange.target + "0"})
+
+
+def upstream(*, name: str, shed: bool) -> UpstreamApp:
+    """Return a host of the load: an upstream that obeys anyone, and may shed everything."""
+    settings = UpstreamSettings(name=name, checks_orders=False, slots=20, queue=100, work_ms=1)
+    model = UpstreamModel(settings=settings)
+    model.faults.shed = shed
+    return UpstreamApp(model=model)
+
+
+class LoadSteps:
+    """Guards against a load tool that reports a better service than callers got."""
+
+    @staticmethod
+    @given("a load of {lookups:d} lookups and {deposits:d} deposits per second for {duration:d} s")
+    def workload(context: Any, lookups: int, deposits: int, duration: int) -> None:
+        text = WORKLOAD.format(lookups=lookups, deposits=deposits, duration=duration)
+        context.workload = parse_workload(text, source="test")
+
+    @staticmethod
+    def send(context: Any, apps: list[AsgiApp]) -> None:
+        async def main() -> None:
+            with trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+                    addresses = [
+                        await start_server(nursery, app, "127.0.0.1:0", graceful_s=0.1)
+                        for app in apps
+                    ]
+                    context.runner = LoadRunner(workload=context.workload, addresses=addresses)
+                    await context.runner.run()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        context.records = [app.model.record() for app in apps if isinstance(app, UpstreamApp)]
+
+    @staticmethod
+    @when("the load is sent to a working host")
+    def working(context: Any) -> None:
+        LoadSteps.send(context, [upstream(name="u1", shed=False)])
+
+    @staticmethod
+    @when("the load is sent to a shedding host and a working host")
+    def shedding(context: Any) -> None:
+        LoadSteps.send(context, [upstream(name="u1", shed=True), upstream(name="u2", shed=False)])
+
+    @staticmethod
+    @when("the load is sent to a host that sheds and a host that closes connections")
+    def closing(context: Any) -> None:
+        LoadSteps.send(context, [upstream(name="u1", shed=True), ClosingApp()])
+
+    @staticmethod
+    @when("the load is sent to a host that mixes up answers")
+    def mixing(context: Any) -> None:
+        LoadSteps.send(context, [MixingApp()])
+
+    @staticmethod
+    def outcomes(context: Any, kind: str) -> dict[str, int]:
+        rows = {row.kind: row for row in context.runner.results.rows()}
+        assert rows[kind].planned > 10, rows[kind]
+        return rows[kind].outcomes
+
+    @staticmethod
+    @then('the load\'s lookups are all "{lookup}" and its deposits are all "{deposit}"')
+    def both(context: Any, lookup: str, deposit: str) -> None:
+        LoadSteps.lookups(context, lookup)
+        LoadSteps.deposits(context, deposit)
+        rows = context.runner.results.rows()
+        assert all(row.in_target == 1 and row.p50_ms <= row.p99_ms for row in rows), rows
+
+    @staticmethod
+    @then('the load\'s deposits are all "{outcome}"')
+    def deposits(context: Any, outcome: str) -> None:
+        found = LoadSteps.outcomes(context, "deposit")
+        assert list(found) == [outcome], found
+
+    @staticmethod
+    @then('the load\'s lookups are all "{outcome}"')
+    def lookups(context: Any, outcome: str) -> None:
+        found = LoadSteps.outcomes(context, "lookup")
+        assert list(found) == [outcome], found
+        row = context.runner.results.rows()[0]
+        assert (row.in_target > 0) == (outcome == "completed"), row
+
+    @staticmethod
+    @then('the load\'s deposits end as "{outcomes}" by the host that was asked last')
+    def by_host(context: Any, outcomes: str) -> None:
+        found = LoadSteps.outcomes(context, "deposit")
+        assert ", ".join(sorted(found)) == outcomes, found
+        for record in context.runner.records:
+            assert {record.outcome, *record.earlier} == {
+                SeenOutcome.NOT_RUN,
+                SeenOutcome.NO_ANSWER,
+            }, record
+
+    @staticmethod
+    @then("at least one deposit of the load was refused before")
+    def refused(context: Any) -> None:
+        earlier = [record.earlier for record in context.runner.records]
+        assert (SeenOutcome.NOT_RUN,) in earlier, earlier
+
+    @staticmethod
+    @then("the checker finds nothing in the records of the load")
+    def nothing(context: Any) -> None:
+        violations = check(upstreams=context.records, callers=context.runner.records)
+        assert violations == (), violations
+
+    @staticmethod
+    @then("the load's idempotency keys are UUIDv7 of now, each used for one deposit")
+    def keys(context: Any) -> None:
+        keys = [record.idempotency_key for record in context.runner.records]
+        assert len(set(keys)) == len(keys)
+        for key in map(uuid.UUID, keys):
+            assert key.version == 7 and key.variant == uuid.RFC_4122, key
+            assert abs((key.int >> 80) / 1000 - time.time()) < 30, key
+
+    @staticmethod
+    @then(
+        "{count:d} keys of the load with a hot share of {share:f} contain the hot key"
+        " {least:d} to {most:d} times"
+    )
+    def hot(context: Any, count: int, share: float, least: int, most: int) -> None:
+        keys = KeyDistribution(hot=(HotKey(key="hot", share=share, start_s=1.0),))
+        draws = []
+        for _ in range(2):
+            picker = KeyPicker(keys=keys, rng=random.Random(5))
+            draws.append([picker.pick(at_s=1.0) for _ in range(count)])
+            assert "hot" not in {picker.pick(at_s=0.5) for _ in range(count)}
+        assert draws[0] == draws[1]
+        assert least <= draws[0].count("hot") <= most
+
+    @staticmethod
+    @then("the load's zipf keys draw the first key most often")
+    def zipf(context: Any) -> None:
+        keys = KeyDistribution(count=100, prefix="z", distribution="zipf")
+        picker = KeyPicker(keys=keys, rng=random.Random(5))
+        drawn = Counter(picker.pick(at_s=0.0) for _ in range(5000))
+        assert drawn.most_common(1)[0][0] == "z0", drawn
+        assert set(drawn) <= {f"z{number}" for number in range(100)}
--- /dev/null
+++ b/features/steps/emulator_upstream_steps.py
@@ -0,0 +1,231 @@
+"""Steps of emulator/upstream.feature."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+from trio.testing import MockClock
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.emulator import GrantOrder
+from acaciasaddle.emulator import UpstreamFaultOrder
+from acaciasaddle.emulator import UpstreamModel
+from acaciasaddle.emulator import UpstreamSettings
+from acaciasaddle.emulator import Work
+from acaciasaddle.emulator import WorkRefusedError
+from acaciasaddle.emulator._asgi import BodyCutError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+OFFSET_MS = 777_000.0
+
+
+class UpstreamScene:
+    """Collects the actions of a scenario and runs them in one trio run at the first ``then``."""
+
+    def __init__(self, settings: UpstreamSettings) -> None:
+        self.settings = settings
+        self.actions: list[Callable[[], Awaitable[None]]] = []
+        self.replies: list[Any] = []
+        self.ended: dict[str, str] = {}
+        self.cancelled: list[str] = []
+        self.shown: list[str] = []
+        self.record: Any = None
+        self.model: UpstreamModel
+        self.nursery: trio.Nursery
+
+    def run(self) -> None:
+        if self.record is None:
+            trio.run(self._main, clock=MockClock(autojump_threshold=0))
+
+    async def _main(self) -> None:
+        self.start_ms = trio.current_time() * 1000
+        self.model = UpstreamModel(settings=self.settings, clock=TrioClock(), offset_ms=OFFSET_MS)
+        async with trio.open_nursery() as self.nursery:
+            for action in self.actions:
+                await action()
+                await trio.testing.wait_all_tasks_blocked()
+        self.record = self.model.record()
+
+    async def grant(self, row: Any) -> None:
+        valid, units = row["valid"], row["units"]
+        order = GrantOrder(
+            holder="h@1",
+            term=int(row["term"]),
+            seq=int(row["seq"]),
+            valid_until=None if valid == "ask" else self.model.clock_ms() + float(valid),
+            units=None if units == "keep" else tuple(units.split(", ")),
+            excluded=(row["excluded"],) if "excluded" in row.headings else None,
+        )
+        self.replies.append(self.model.grant(order))
+
+    async def start(self, row: Any) -> None:
+        values = dict(row.items())
+        deadline = values.get("deadline")
+        work = Work(
+            request_id=values["id"],
+            key=values.get("key", "k"),
+            unit=values["unit"],
+            term=int(values["term"]) if values["term"] else None,
+            deadline=self.model.clock_ms() + float(deadline) if deadline else None,
+            idempotency_key=f"once-{values['id']}" if values.get("once") else "",
+            work_ms=float(values.get("work") or 10),
+        )
+        self.nursery.start_soon(self._work, work, values)
+        await trio.testing.wait_all_tasks_blocked()
+
+    async def _work(self, work: Work, values: dict[str, str]) -> None:
+        try:
+            await self.model.work(work, self._body(values))
+            self.ended[work.request_id] = "completed"
+        except WorkRefusedError as exc:
+            self.ended[work.request_id] = f"{exc.status} {exc.outcome}"
+        except BodyCutError:
+            self.ended[work.request_id] = "cut"
+
+    @staticmethod
+    async def _body(values: dict[str, str]) -> AsyncIterator[bytes]:
+        yield b"first"
+        await trio.sleep(float(values.get("upload") or 0) / 1000)
+        if values.get("cut"):
+            raise BodyCutError("the body is incomplete", step="test")
+
+    def show(self) -> None:
+        sample = self.model.lagging_sample()
+        self.shown.append(f"{sample.state} {sample.busy}")
+
+
+class UpstreamSteps:
+    """Guards against a stand-in that lets the system get away with a wrong order or request."""
+
+    @staticmethod
+    @given("an upstream stand-in")
+    def checking(context: Any) -> None:
+        context.scene = UpstreamScene(UpstreamSettings(name="u", slots=2, queue=2))
+
+    @staticmethod
+    @given("an upstream stand-in that obeys anyone")
+    def obeying(context: Any) -> None:
+        context.scene = UpstreamScene(UpstreamSettings(name="u", checks_orders=False))
+
+    @staticmethod
+    @when("the upstream stand-in gets these grants")
+    def grants(context: Any) -> None:
+        scene = context.scene
+        for row in context.table:
+            scene.actions.append(lambda row=row: scene.grant(row))
+
+    @staticmethod
+    @when("the upstream stand-in starts this work")
+    def starts(context: Any) -> None:
+        scene = context.scene
+        for row in context.table:
+            scene.actions.append(lambda row=row: scene.start(row))
+
+    @staticmethod
+    @when("{delay:d} ms pass for the upstream stand-in")
+    def passes(context: Any, delay: int) -> None:
+        context.scene.actions.append(lambda: trio.sleep(delay / 1000))
+
+    @staticmethod
+    @when("the upstream stand-in gets the fault {name} {value:d}")
+    def fault(context: Any, name: str, value: int) -> None:
+        scene = context.scene
+
+        async def action() -> None:
+            setting: float | bool = value if name.endswith("_ms") else bool(value)
+            scene.model.order_faults(UpstreamFaultOrder(**{name: setting}))
+
+        scene.actions.append(action)
+
+    @staticmethod
+    @when('the upstream stand-in gets cancellations of "{ids}"')
+    def cancel(context: Any, ids: str) -> None:
+        scene = context.scene
+
+        async def action() -> None:
+            scene.cancelled += [scene.model.cancel(each).value for each in ids.split(", ")]
+
+        scene.actions.append(action)
+
+    @staticmethod
+    @when("the upstream stand-in shows its load")
+    def show(context: Any) -> None:
+        scene = context.scene
+
+        async def action() -> None:
+            scene.show()
+
+        scene.actions.append(action)
+
+    @staticmethod
+    @then("the upstream stand-in's replies are")
+    def replies(context: Any) -> None:
+        context.scene.run()
+        found = [
+            [
+                "yes" if reply.accepted else "no",
+                str(reply.state.term),
+                str(reply.state.seq),
+                ", ".join(reply.state.units),
+            ]
+            for reply in context.scene.replies
+        ]
+        assert found == [list(row.cells) for row in context.table], found
+
+    @staticmethod
+    @then('reply {number:d} of the upstream stand-in lists "{units}" as running')
+    def running(context: Any, number: int, units: str) -> None:
+        found = context.scene.replies[number - 1].state.running
+        assert ", ".join(found) == units, found
+
+    @staticmethod
+    @then('the upstream stand-in\'s work ended as "{expected}"')
+    def ended(context: Any, expected: str) -> None:
+        context.scene.run()
+        found = ", ".join(f"{key} {value}" for key, value in sorted(context.scene.ended.items()))
+        assert found == expected, found
+
+    @staticmethod
+    @then('the upstream stand-in\'s cancellations ended as "{expected}"')
+    def cancellations(context: Any, expected: str) -> None:
+        context.scene.run()
+        assert ", ".join(context.scene.cancelled) == expected, context.scene.cancelled
+
+    @staticmethod
+    @then('the upstream stand-in recorded the runs "{expected}"')
+    def runs(context: Any, expected: str) -> None:
+        scene = context.scene
+        scene.run()
+        found = ", ".join(
+            f"{run.request_id} {run.state}"
+            f" {run.boot_start_ms - scene.start_ms:.0f}-{run.boot_end_ms - scene.start_ms:.0f}"
+            for run in scene.record.runs
+        )
+        assert found == expected, found
+
+    @staticmethod
+    @then('the upstream stand-in recorded the ownership "{expected}"')
+    def ownership(context: Any, expected: str) -> None:
+        scene = context.scene
+        scene.run()
+        found = ", ".join(
+            f"{owned.unit} {owned.boot_from_ms - scene.start_ms:.0f}"
+            f"-{owned.boot_until_ms - scene.start_ms:.0f}"
+            for owned in scene.record.owned
+        )
+        assert found == expected, found
+
+    @staticmethod
+    @then('the upstream stand-in showed "{expected}"')
+    def showed(context: Any, expected: str) -> None:
+        context.scene.run()
+        assert ", ".join(context.scene.shown) == expected, context.scene.shown
--- a/src/acaciasaddle/emulator/__init__.py
+++ b/src/acaciasaddle/emulator/__init__.py
@@ -2,7 +2,19 @@
 
 from __future__ import annotations
 
+from acaciasaddle.emulator._checker import Rule
+from acaciasaddle.emulator._checker import Violation
+from acaciasaddle.emulator._checker import check
+from acaciasaddle.emulator._checker import read_caller_records
+from acaciasaddle.emulator._checker import read_upstream_record
+from acaciasaddle.emulator._load import LoadRunner
 from acaciasaddle.emulator._platform_app import PlatformApp
+from acaciasaddle.emulator._records import CallerRecord
+from acaciasaddle.emulator._records import OwnedRecord
+from acaciasaddle.emulator._records import RunRecord
+from acaciasaddle.emulator._records import RunState
+from acaciasaddle.emulator._records import SeenOutcome
+from acaciasaddle.emulator._records import UpstreamRecord
 from acaciasaddle.emulator._serve import start_server
 from acaciasaddle.emulator._store import MemoryTable
 from acaciasaddle.emulator._store import StoreFaults
@@ -15,19 +27,37 @@
 from acaciasaddle.emulator._upstream_types import UpstreamSettings
 from acaciasaddle.emulator._upstream_types import Work
 from acaciasaddle.emulator._upstream_types import WorkRefusedError
+from acaciasaddle.emulator._uuid7 import uuid7
+from acaciasaddle.emulator._workload import Workload
+from acaciasaddle.emulator._workload import parse_workload
 
 __all__ = [
+    "CallerRecord",
     "GrantOrder",
+    "LoadRunner",
     "MemoryTable",
+    "OwnedRecord",
     "PlatformApp",
+    "Rule",
+    "RunRecord",
+    "RunState",
+    "SeenOutcome",
     "StoreFaults",
     "StoreState",
     "TableStore",
     "UpstreamApp",
     "UpstreamFaultOrder",
     "UpstreamModel",
+    "UpstreamRecord",
     "UpstreamSettings",
+    "Violation",
     "Work",
     "WorkRefusedError",
+    "Workload",
+    "check",
+    "parse_workload",
+    "read_caller_records",
+    "read_upstream_record",
     "start_server",
+    "uuid7",
 ]
--- /dev/null
+++ b/src/acaciasaddle/emulator/_checker.py
@@ -0,0 +1,223 @@
+"""Finds violations of the promises in the records of upstream stand-ins and callers."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from pydantic import TypeAdapter
+
+from acaciasaddle.emulator._records import CallerRecord
+from acaciasaddle.emulator._records import OwnedRecord
+from acaciasaddle.emulator._records import RunRecord
+from acaciasaddle.emulator._records import RunState
+from acaciasaddle.emulator._records import SeenOutcome
+from acaciasaddle.emulator._records import UpstreamRecord
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import shard_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+UPSTREAM_RECORD = TypeAdapter(UpstreamRecord)
+CALLER_RECORD = TypeAdapter(CallerRecord)
+
+
+class Rule(StrEnum):
+    """What was violated."""
+
+    TWO_OWNERS = "two-owners"
+    RUN_BY_OTHER = "run-by-other"
+    RUN_TWICE = "run-twice"
+    NOT_RUN_BUT_RAN = "not-run-but-ran"
+    COMPLETED_WITHOUT_RUN = "completed-without-run"
+    FOREIGN_ANSWER = "foreign-answer"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Violation:
+    """One violation. ``subject`` is a unit or an idempotency key."""
+
+    rule: Rule
+    subject: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Ownership:
+    upstream: str
+    owned: OwnedRecord
+
+    def overlaps(self, other: _Ownership) -> bool:
+        return (
+            self.upstream != other.upstream
+            and self.owned.boot_from_ms < other.owned.boot_until_ms
+            and other.owned.boot_from_ms < self.owned.boot_until_ms
+        )
+
+    def contains(self, boot_ms: float) -> bool:
+        return self.owned.boot_from_ms <= boot_ms < self.owned.boot_until_ms
+
+    def describe(self) -> str:
+        owned = self.owned
+        return (
+            f"{self.upstream} from {owned.boot_from_ms:.1f} to {owned.boot_until_ms:.1f} "
+            f"(term {owned.term}, holder {owned.holder})"
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Run:
+    upstream: str
+    run: RunRecord
+
+
+class Checker:
+    """Checks records of one run of the system.
+
+    Records of different upstreams are compared by CLOCK_BOOTTIME, so all stand-ins have to run on
+    one machine. ``shards`` maps ``service/group`` to the number of shards; with it, a pinned key
+    is compared with the shard that it was taken from.
+    """
+
+    def __init__(
+        self,
+        *,
+        upstreams: Sequence[UpstreamRecord],
+        callers: Sequence[CallerRecord] = (),
+        shards: Mapping[str, int] | None = None,
+    ) -> None:
+        self._callers = callers
+        self._shards = shards or {}
+        self._owned: dict[str, list[_Ownership]] = defaultdict(list)
+        self._runs: list[_Run] = []
+        self._once: dict[str, list[_Run]] = defaultdict(list)
+        for record in upstreams:
+            for owned in record.owned:
+                self._owned[owned.unit].append(_Ownership(upstream=record.name, owned=owned))
+            for run in record.runs:
+                item = _Run(upstream=record.name, run=run)
+                self._runs.append(item)
+                if run.idempotency_key:
+                    self._once[run.idempotency_key].append(item)
+
+    def violations(self) -> tuple[Violation, ...]:
+        """Return all violations found."""
+        return (
+            *self._two_owners(),
+            *self._shards_with_foreign_pins(),
+            *self._runs_by_others(),
+            *self._runs_twice(),
+            *self._caller_violations(),
+        )
+
+    def _two_owners(self) -> Iterator[Violation]:
+        for unit, ownerships in self._owned.items():
+            for first, second in _overlapping(ownerships):
+                yield Violation(
+                    rule=Rule.TWO_OWNERS,
+                    subject=unit,
+                    detail=f"{first.describe()} and {second.describe()}",
+                )
+
+    def _shards_with_foreign_pins(self) -> Iterator[Violation]:
+        for text, pins in self._owned.items():
+            unit = UnitId.parse(text)
+            shards = self._shards.get(f"{unit.service}/{unit.group}", 0)
+            if not unit.is_pin or not shards:
+                continue
+            shard = UnitId(unit.service, unit.group, shard_of(unit.key, shards))
+            for whole in self._owned.get(str(shard), ()):
+                if text in whole.owned.excluded:
+                    continue
+                for pin in pins:
+                    if pin.overlaps(whole):
+                        yield Violation(
+                            rule=Rule.TWO_OWNERS,
+                            subject=text,
+                            detail=f"{pin.describe()} and, with shard {shard}, {whole.describe()}",
+                        )
+
+    def _runs_by_others(self) -> Iterator[Violation]:
+        """Find runs that started while another upstream owned their unit.
+
+        This also covers upstreams that do not check orders and therefore own nothing by grant.
+        """
+        for item in self._runs:
+            for owner in self._owned.get(item.run.unit, ()):
+                if owner.upstream == item.upstream or not owner.contains(item.run.boot_start_ms):
+                    continue
+                yield Violation(
+                    rule=Rule.RUN_BY_OTHER,
+                    subject=item.run.unit,
+                    detail=(
+                        f"request {item.run.request_id} started on {item.upstream} at "
+                        f"{item.run.boot_start_ms:.1f}; the owner is {owner.describe()}"
+                    ),
+                )
+
+    def _runs_twice(self) -> Iterator[Violation]:
+        for key, runs in self._once.items():
+            if len(runs) > 1:
+                places = ", ".join(
+                    f"{item.upstream} at {item.run.boot_start_ms:.1f} ({item.run.state.value})"
+                    for item in runs
+                )
+                yield Violation(rule=Rule.RUN_TWICE, subject=key, detail=places)
+
+    def _caller_violations(self) -> Iterator[Violation]:
+        for record in self._callers:
+            key = record.idempotency_key
+            runs = self._once.get(key, [])
+            completed = any(item.run.state is RunState.COMPLETED for item in runs)
+            if record.outcome is SeenOutcome.NOT_RUN and runs:
+                earlier = ", ".join(outcome.value for outcome in record.earlier) or "none"
+                yield Violation(
+                    rule=Rule.NOT_RUN_BUT_RAN,
+                    subject=key,
+                    detail=f"ran on {runs[0].upstream}; outcomes of earlier attempts: {earlier}",
+                )
+            elif record.outcome is SeenOutcome.COMPLETED and not completed:
+                yield Violation(
+                    rule=Rule.COMPLETED_WITHOUT_RUN, subject=key, detail=f"kind {record.kind}"
+                )
+            elif record.outcome is SeenOutcome.FOREIGN:
+                yield Violation(rule=Rule.FOREIGN_ANSWER, subject=key, detail=f"kind {record.kind}")
+
+
+def check(
+    *,
+    upstreams: Sequence[UpstreamRecord],
+    callers: Sequence[CallerRecord] = (),
+    shards: Mapping[str, int] | None = None,
+) -> tuple[Violation, ...]:
+    """Return all violations in the records of one run."""
+    return Checker(upstreams=upstreams, callers=callers, shards=shards).violations()
+
+
+def read_upstream_record(data: bytes) -> UpstreamRecord:
+    """Parse an answer of ``GET /record``; raises ``pydantic.ValidationError``."""
+    return UPSTREAM_RECORD.validate_json(data)
+
+
+def read_caller_records(text: str) -> tuple[CallerRecord, ...]:
+    """Parse a file written by ``load --record``; raises ``pydantic.ValidationError``."""
+    return tuple(CALLER_RECORD.validate_json(line) for line in text.splitlines() if line)
+
+
+def _overlapping(ownerships: Iterable[_Ownership]) -> Iterator[tuple[_Ownership, _Ownership]]:
+    """Yield overlapping pairs, each with the ownership before it that lasts longest."""
+    ordered = sorted(ownerships, key=lambda item: item.owned.boot_from_ms)
+    longest: dict[str, _Ownership] = {}
+    for item in ordered:
+        for other in longest.values():
+            if other.overlaps(item):
+                yield other, item
+        known = longest.get(item.upstream)
+        if known is None or known.owned.boot_until_ms < item.owned.boot_until_ms:
+            longest[item.upstream] = item
