Keep an index of owners and push rows to fewer peers

Cause: an idle entry host of the Utility's deployment used about 21% of a core: every question about units scanned all assignments, each host pushed every row again to all others, and successors polled every 20 ms. A failed reclaim ended the process, and a port from the range of outgoing connections was taken before it was used. The demonstration command is added.

--- a/features/steps/emulator_http_steps.py
+++ b/features/steps/emulator_http_steps.py
@@ -55,7 +55,16 @@
     )
     model = UpstreamModel(settings=settings)
     lease = model.clock_ms() + 60_000
-    model.grant(GrantOrder(holder="h@1", term=1, seq=1, valid_until=lease, units=("s/g/1",)))
+    model.grant(
+        GrantOrder(
+            holder="h@1",
+            term=1,
+            seq=1,
+            instance=model.instance,
+            valid_until=lease,
+            units=("s/g/1",),
+        )
+    )
     return UpstreamApp(model=model)
 
 
@@ -176,7 +185,9 @@
     @staticmethod
     @when('the emulator command "{arguments}" is started and stopped by SIGTERM')
     def started(context: Any, arguments: str) -> None:
-        results = context.__dict__.setdefault("results", [])
+        if "cli_results" not in context:
+            context.cli_results = []
+        results = context.cli_results
         with subprocess.Popen(
             (*COMMAND, *arguments.split()), stdout=subprocess.PIPE, text=True
         ) as process:
@@ -187,8 +198,8 @@
     @staticmethod
     @then("the emulator commands printed an address and ended with exit code 0")
     def ended(context: Any) -> None:
-        assert len(context.results) == 2
-        for line, code in context.results:
+        assert len(context.cli_results) == 2
+        for line, code in context.cli_results:
             host, port = json.loads(line)["ready"].split(":")
             assert host == "127.0.0.1" and int(port) > 0, line
             assert code == 0, code
--- a/features/steps/emulator_upstream_steps.py
+++ b/features/steps/emulator_upstream_steps.py
@@ -61,6 +61,7 @@
             holder="h@1",
             term=int(row["term"]),
             seq=int(row["seq"]),
+            instance=self.model.instance,
             valid_until=None if valid == "ask" else self.model.clock_ms() + float(valid),
             units=None if units == "keep" else tuple(units.split(", ")),
             excluded=(row["excluded"],) if "excluded" in row.headings else None,
--- /dev/null
+++ b/src/acaciasaddle/emulator/_deployments.py
@@ -0,0 +1,136 @@
+"""The deployments of today, as plans for a fleet on loopback and workloads."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from acaciasaddle.emulator._fleet import FleetPlan
+from acaciasaddle.emulator._fleet import HostPlan
+from acaciasaddle.emulator._fleet import UpstreamPlan
+from acaciasaddle.emulator._workload import KeyDistribution
+from acaciasaddle.emulator._workload import LoadKind
+from acaciasaddle.emulator._workload import Workload
+
+RANKS = [
+    {"name": "urgent", "target_ms": 1000, "share": 0.6},
+    {"name": "normal", "target_ms": 2000, "share": 0.25},
+    {"name": "bulk", "target_ms": 20000, "share": 0.1},
+]
+
+
+def _kind(name: str, service: str, method: str, path: str, rank: str, **more: Any) -> Any:
+    return {
+        "name": name,
+        "service": service,
+        "method": method,
+        "path": f"/{service}/{{key}}{path}",
+        "rank": rank,
+        **more,
+    }
+
+
+ONCE = {"once": True, "idempotent": False}
+
+UTILITY_RULES: dict[str, Any] = {
+    "ranks": RANKS,
+    "kinds": [
+        _kind("availability", "bookings", "GET", "", "normal"),
+        _kind("deposit", "bookings", "POST", "/deposit", "urgent", weight=10, **ONCE),
+        _kind("signing", "bookings", "POST", "/signing", "urgent", weight=10, **ONCE),
+        _kind("repertoire", "roster", "GET", "", "normal"),
+        _kind("recording", "roster", "PUT", "/recording", "bulk", bulky=True),
+    ],
+}
+
+INDUS_FLOE_RULES: dict[str, Any] = {
+    "ranks": RANKS,
+    "kinds": [
+        _kind("slots", "convoy-desk", "GET", "", "normal"),
+        _kind("booking", "convoy-desk", "POST", "/booking", "urgent", weight=10, **ONCE),
+        _kind("cancellation", "convoy-desk", "POST", "/cancellation", "urgent", weight=10, **ONCE),
+        _kind("survey", "survey-hub", "PUT", "/survey", "bulk", bulky=True),
+    ],
+}
+
+UTILITY_PLACES = ("tshwane-north", "tshwane-east", "centurion", "soshanguve")
+INDUS_FLOE_PLACES = ("karachi-a", "gwadar-b", "qasim-c")
+
+
+def _upstreams(
+    service: str, count: int, places: tuple[str, ...], slots: int
+) -> tuple[UpstreamPlan, ...]:
+    return tuple(
+        UpstreamPlan(
+            service=service,
+            name=f"{service}-{index:02}",
+            data_centre=places[index % len(places)],
+            slots=slots,
+            work_ms=5,
+        )
+        for index in range(count)
+    )
+
+
+def _hosts(count: int, places: tuple[str, ...]) -> tuple[HostPlan, ...]:
+    return tuple(
+        HostPlan(host_id=f"entry-{index:02}", data_centre=places[index % len(places)])
+        for index in range(count)
+    )
+
+
+def utility_plan() -> FleetPlan:
+    """Return the Utility's deployment: 30 and 8 upstreams with 2 slots, 12 entry hosts."""
+    return FleetPlan(
+        data_centres=UTILITY_PLACES,
+        upstreams=(
+            *_upstreams("bookings", 30, UTILITY_PLACES, 2),
+            *_upstreams("roster", 8, UTILITY_PLACES, 2),
+        ),
+        hosts=_hosts(12, UTILITY_PLACES),
+        rules=UTILITY_RULES,
+    )
+
+
+def indus_floe_plan() -> FleetPlan:
+    """Return Indus Floe's deployment: 30 and 6 upstreams with 6 slots, 11 entry hosts."""
+    return FleetPlan(
+        data_centres=INDUS_FLOE_PLACES,
+        upstreams=(
+            *_upstreams("convoy-desk", 30, INDUS_FLOE_PLACES, 6),
+            *_upstreams("survey-hub", 6, INDUS_FLOE_PLACES, 6),
+        ),
+        hosts=_hosts(11, INDUS_FLOE_PLACES),
+        rules=INDUS_FLOE_RULES,
+    )
+
+
+def workload_for(rules: dict[str, Any], *, duration_s: float, rate: float, seed: int) -> Workload:
+    """Return a workload with every kind of the rules; ``rate`` is the sum in requests/s."""
+    targets = {rank["name"]: rank["target_ms"] for rank in rules["ranks"]}
+    parts = {
+        kind["name"]: 0.02 if kind.get("bulky") else 0.1 if kind.get("once") else 0.35
+        for kind in rules["kinds"]
+    }
+    total = sum(parts.values())
+    kinds = tuple(
+        LoadKind(
+            name=kind["name"],
+            method=kind["method"],
+            path=kind["path"],
+            rate=rate * parts[kind["name"]] / total,
+            rank=kind["rank"],
+            target_ms=targets[kind["rank"]],
+            once=kind.get("once", False),
+            weight=kind.get("weight", 1.0),
+            body_bytes=2_000_000 if kind.get("bulky") else 300 if kind.get("once") else 0,
+            timeout_s=30 if kind.get("bulky") else 8,
+        )
+        for kind in rules["kinds"]
+    )
+    return Workload(
+        kinds=kinds,
+        duration_s=duration_s,
+        seed=seed,
+        keys=KeyDistribution(count=20_000, distribution="zipf", zipf_exponent=0.7),
+        repeats=3,
+    )
--- a/src/acaciasaddle/emulator/_fleet.py
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -34,6 +35,7 @@
 POLL_S = 0.05
 # Starting an interpreter costs about 0.4 s of processor time.
 PARALLEL_STARTS = 8
+SERVER_PORTS = (12_000, 32_000)
 
 RECORD = TypeAdapter(UpstreamRecord)
 
@@ -210,9 +212,11 @@
     async def kill_upstream(self, upstream: str) -> float:
         """Kill an upstream, keeping its record; returns CLOCK_BOOTTIME in seconds."""
         member = self.upstreams[upstream]
+        # Frozen first, so that nothing happens between the record and the kill.
+        await request_json(member.address, "POST", "/faults", {"frozen": True})
+        member.killed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         record = await self.record(member)
         member.process.kill()
-        member.killed_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         self.lost_records.append(_ended(record, member.killed_at * 1000))
         await member.process.wait()
         return member.killed_at
@@ -312,10 +316,17 @@
 
 
 def free_port() -> int:
-    """Return a TCP port of 127.0.0.1 that is free at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
+    """Return a TCP port of 127.0.0.1 that is free at the moment.
+
+    Not from the range of outgoing connections, one of which could take it before it is used.
+    """
+    while True:
+        port = random.randrange(*SERVER_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         return port
 
 
--- a/src/acaciasaddle/emulator/_load.py
+++ b/src/acaciasaddle/emulator/_load.py
@@ -49,6 +49,10 @@
         """Plan no more requests; those in flight are still waited for."""
         self._planning.cancel()
 
+    def remove(self, address: str) -> None:
+        """Send no more requests to an entry host, as a balancer that noticed its loss."""
+        self._targets = [target for target in self._targets if target.address != address]
+
     async def run(self) -> None:
         """Run until all requests have been answered or have failed."""
         start = trio.current_time()
--- a/src/acaciasaddle/emulator/cli/_main.py
+++ b/src/acaciasaddle/emulator/cli/_main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from acaciasaddle.emulator.cli._demo import demo
 from acaciasaddle.emulator.cli._load import load
 from acaciasaddle.emulator.cli._platform import platform
 from acaciasaddle.emulator.cli._upstream import upstream
@@ -21,3 +22,4 @@
 main.add_command(platform)
 main.add_command(upstream)
 main.add_command(load)
+main.add_command(demo)
--- a/src/acaciasaddle/entry/_host.py
+++ b/src/acaciasaddle/entry/_host.py
@@ -4,6 +4,8 @@
 
 import signal
 import uuid
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
@@ -11,6 +13,7 @@
 import trio
 
 from acaciasaddle.clock import BootClock
+from acaciasaddle.clock import Clock
 from acaciasaddle.config import Rules
 from acaciasaddle.dispatch import LocalDispatcher
 from acaciasaddle.entry._ingress import Ingress
@@ -22,6 +25,7 @@
 from acaciasaddle.mirror import Mirror
 from acaciasaddle.model import HostRow
 from acaciasaddle.model import HostState
+from acaciasaddle.observe import Metrics
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import StatsdMetrics
 from acaciasaddle.observe import configure_logs
@@ -33,8 +37,13 @@
 from acaciasaddle.ownership import Members
 from acaciasaddle.ownership import MirrorRouter
 from acaciasaddle.ownership import RendezvousPlacement
+from acaciasaddle.peers import Connect
+from acaciasaddle.peers import Listen
 from acaciasaddle.peers import TcpPeerHub
+from acaciasaddle.peers import connect_tcp
+from acaciasaddle.peers import listen_tcp
 from acaciasaddle.platform import HttpPlatform
+from acaciasaddle.platform import Table
 
 if TYPE_CHECKING:
     from acaciasaddle.config import Settings
@@ -42,7 +51,6 @@
     from acaciasaddle.model import OnceRecord
     from acaciasaddle.model import UnitId
     from acaciasaddle.model import UpstreamId
-    from acaciasaddle.observe import Metrics
     from acaciasaddle.ownership import Permit
 
 EMPTY_RULES = Rules(ranks=(), kinds=())
@@ -112,24 +120,41 @@
         self._authority().superseded(upstream, term)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What an entry host touches outside its process; tests replace it."""
+
+    table: Table
+    clock: Clock = field(default_factory=BootClock)
+    metrics: Metrics = field(default_factory=NullMetrics)
+    backend: httpcore.AsyncNetworkBackend = field(default_factory=httpcore.TrioBackend)
+    connect: Connect = connect_tcp
+    listen: Listen = listen_tcp
+
+
 class EntryHost:
-    """All services of one entry host, wired together."""
+    """All services of one entry host, wired together.
 
-    def __init__(self, *, settings: Settings) -> None:
+    Without ``listeners`` no HTTP is served: requests go to ``ingress`` directly.
+    """
+
+    def __init__(
+        self, *, settings: Settings, surroundings: Surroundings, listeners: bool = True
+    ) -> None:
         self.settings = settings
         self.incarnation = uuid.uuid4().hex[:12]
         self.member = f"{settings.host_id}@{self.incarnation}"
         self.kernel = Kernel()
-        clock = BootClock()
-        metrics = _metrics(settings)
-        backend = httpcore.TrioBackend()
-        platform = HttpPlatform(address=settings.platform_address)
+        clock, metrics = surroundings.clock, surroundings.metrics
+        platform, backend = surroundings.table, surroundings.backend
         self.hub = TcpPeerHub(
             member=self.member,
             data_centre=settings.data_centre,
             address=settings.peer_address,
             clock=clock,
             metrics=metrics,
+            connect=surroundings.connect,
+            listen=surroundings.listen,
         )
         self.mirror = Mirror(table=platform, hub=self.hub, clock=clock)
         self.members = Members(
@@ -173,12 +198,12 @@
             metrics=metrics,
         )
         self.hub.on_work(self.dispatcher.serve)
-        operator = OperatorApp(
+        self.operator = OperatorApp(
             ctx=ctx, router=self.router, authority=self.authority, ingress=self.ingress
         )
         self.operator_listener = HttpListener(
             name="operator listener",
-            app=operator,
+            app=self.operator,
             settings=settings,
             address=settings.operator_address,
         )
@@ -197,10 +222,11 @@
             FirstAssignment(ctx=ctx),
             self.authority,
             self.ingress,
-            self.operator_listener,
-            self.caller_listener,
         ):
             self.kernel.add(svc)
+        self._listeners = (self.operator_listener, self.caller_listener) if listeners else ()
+        for listener in self._listeners:
+            self.kernel.add(listener)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Run until ``stop``."""
@@ -212,7 +238,8 @@
         await self.members.leave()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.authority.stop)
-            nursery.start_soon(self.caller_listener.stop)
+            if self._listeners:
+                nursery.start_soon(self.caller_listener.stop)
         await self.dispatcher.drain()
         self.kernel.shutdown()
 
@@ -247,7 +274,12 @@
 
 
 async def _run(settings: Settings) -> None:
-    host = EntryHost(settings=settings)
+    host = EntryHost(
+        settings=settings,
+        surroundings=Surroundings(
+            table=HttpPlatform(address=settings.platform_address), metrics=_metrics(settings)
+        ),
+    )
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             await nursery.start(host.run)
--- a/src/acaciasaddle/entry/_operator.py
+++ b/src/acaciasaddle/entry/_operator.py
@@ -129,10 +129,8 @@
         holder, successor = self._router.holder(uid)
         held = self._authority.held.get(uid)
         load = self._ctx.dispatcher.load(uid) if held else None
-        owned = sum(
-            assignment.owner == str(uid)
-            for _, assignment in self._ctx.mirror.assignments(uid.service)
-        )
+        units = self._ctx.mirror.owners.of(str(uid)).values()
+        owned = sum(assignment.owner == str(uid) for assignment in units)
         return {
             "upstream": str(uid),
             "holder": holder,
@@ -250,12 +248,12 @@
                     f"{first.shards}: the number is fixed when the group is created"
                 )
         known = {str(uid) for uid in changed.upstreams}
-        for service in {uid.service for uid in self._current_upstreams()}:
-            owners = {a.owner for _, a in self._ctx.mirror.assignments(service)}
-            problems.extend(
-                f"upstream {owner} still owns units: set its state to leaving first"
-                for owner in sorted(owners - known)
-            )
+        owners = self._ctx.mirror.owners
+        problems.extend(
+            f"upstream {uid} still owns units: set its state to leaving first"
+            for uid in sorted(map(str, self._current_upstreams()))
+            if uid not in known and owners.of(uid)
+        )
         return problems
 
     def _current_upstreams(self) -> Any:
--- a/src/acaciasaddle/mirror/_mirror.py
+++ b/src/acaciasaddle/mirror/_mirror.py
@@ -16,6 +16,7 @@
 from acaciasaddle.errors import PlatformError
 from acaciasaddle.kernel import Service
 from acaciasaddle.mirror._configuration import Configuration
+from acaciasaddle.mirror._owners import OwnerIndex
 from acaciasaddle.model import ConfigRow
 from acaciasaddle.model import HostRow
 from acaciasaddle.model import PinsRow
@@ -43,6 +44,8 @@
 
 POLL_INTERVAL_S = 1.0
 PEER_CALL_TIMEOUT_S = 1.0
+# The writer of a row pushes it to all its peers; this reaches hosts that it cannot reach.
+FORWARD_FANOUT = 2
 CONFIG_KEY = "config/current"
 
 T = TypeVar("T")
@@ -66,6 +69,7 @@
         self._rows: dict[str, Row] = {}
         self._by_part: dict[str, set[str]] = {}
         self._parsed: dict[str, tuple[int, Any]] = {}
+        self.owners = OwnerIndex()
         self._changed = trio.Event()
         self._poll_now = trio.Event()
         self.revision = 0
@@ -122,17 +126,15 @@
         chunk = self.units_row(unit.row_key)
         return chunk.units.get(unit.shard) if chunk else None
 
-    def assignments(self, service: str) -> Iterator[tuple[UnitId, UnitAssignment]]:
-        """Return all units of a service with their assignments."""
-        for row in self.below("units"):
-            _, owner_service, group, _ = row.key.split("/", 3)
-            chunk = self.units_row(row.key) if owner_service == service else None
-            for shard, assignment in chunk.units.items() if chunk else ():
-                yield UnitId(service, group, shard), assignment
-        pins = self.pins_row(service)
-        for name, assignment in pins.units.items() if pins else ():
-            group, key = name.split("/", 1)
-            yield UnitId.pin(service, group, key), assignment
+    def _units_of(self, row_key: str) -> dict[UnitId, UnitAssignment]:
+        part, service, *rest = row_key.split("/", 3)
+        if part == "pins":
+            pins = self.pins_row(service)
+            names = pins.units.items() if pins else ()
+            return {UnitId.pin(service, *name.split("/", 1)): a for name, a in names}
+        chunk = self.units_row(row_key)
+        shards = chunk.units.items() if chunk else ()
+        return {UnitId(service, rest[0], shard): a for shard, a in shards}
 
     def take(self, rows: Iterable[Row], *, revision: int = 0, source: str) -> tuple[Row, ...]:
         """Store rows that are newer than the known ones, and return those."""
@@ -145,10 +147,12 @@
             newer.append(row)
             if row.key == CONFIG_KEY:
                 self._take_configuration(row, source)
-        self.revision = max(self.revision, revision)
+            elif row.key.startswith(("units/", "pins/")):
+                self.owners.replace(row.key, self._units_of(row.key))
         if newer:
             self.serial += 1
-        if newer or revision:
+        if newer or revision > self.revision:
+            self.revision = max(self.revision, revision)
             self._publish()
         return tuple(newer)
 
@@ -211,7 +215,7 @@
     def _take_pushed(self, member: str, rows: tuple[Row, ...], revision: int) -> None:
         newer = self.take(rows, revision=revision, source=member)
         if newer:
-            self._hub.push_rows(newer)
+            self._hub.push_rows(newer, fanout=FORWARD_FANOUT)
 
     def _take_scan(self, scan: Scan) -> None:
         self.take(scan.rows, revision=scan.revision, source="store")
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -62,8 +62,10 @@
         self._watched: set[UpstreamId] = set()
         self._memory_since: dict[UpstreamId, float] = {}
         self._handed: dict[UpstreamId, int] = {}
+        self._handover = trio.Event()
         self._untold: dict[str, set[UpstreamId]] = {}
         self._stopped_for_sure: set[UpstreamId] = set()
+        self._reclaiming: set[UpstreamId] = set()
         self._stopping = False
         hub = ctx.hub
         hub.on_call(KeepRecords, self._on_keep_records)
@@ -161,6 +163,9 @@
                     await trio.sleep(OBSERVE_STEP_S)
                 elif row is None:
                     await self._create(info)
+                elif row.holder == self._ctx.member and info.id in self._reclaiming:
+                    self._reclaiming.discard(info.id)
+                    await self._reclaim(info)
                 elif row.holder == self._ctx.member:
                     await self._hold_by_row(info, row)
                 elif row.successor == self._ctx.member:
@@ -220,8 +225,8 @@
             del self._held[info.id]
             self._memory_since[info.id] = held.memory_since
         row = self._ctx.mirror.upstream_row(info.id)
-        if row is not None and row.holder == self._ctx.member and not self._stopping:
-            await self._reclaim(info)
+        if row is not None and row.holder == self._ctx.member:
+            self._reclaiming.add(info.id)
 
     async def _end_with_row(self, held: HeldUpstream) -> None:
         key = held.id.row_key
@@ -258,13 +263,15 @@
         """As the successor, take over once the holder has surely stopped."""
         since = self._ctx.clock.now()
         while self._ctx.mirror.upstream_row(info.id) == row and not self._stopping:
+            woken = self._handover
             handed = self._handed.pop(info.id, None) == row.term
             stopped_at = max(self._ctx.hub.answered_at(row.holder), since) + at_most(AUTHORITY_S)
             if handed or self._ctx.clock.now() > stopped_at:
                 reason = "handed over" if handed else f"{row.holder} is silent"
                 await self._take_over(info, row, stopped_at, reason, handed=handed)
                 return
-            await trio.sleep(STAND_BY_STEP_S)
+            with trio.move_on_after(max(stopped_at - self._ctx.clock.now(), STAND_BY_STEP_S)):
+                await woken.wait()
 
     async def _take_over(
         self, info: UpstreamInfo, row: UpstreamRow, stopped_at: float, reason: str, *, handed: bool
@@ -450,6 +457,8 @@
         if row is None or row.successor != self._ctx.member or row.term != call.term:
             return Failed(reason="this host is not the successor at that term", step="handover")
         self._handed[call.upstream] = call.term
+        self._handover.set()
+        self._handover = trio.Event()
         return Done()
 
     async def _on_taken_over(self, member: str, call: Call) -> Reply:
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -45,6 +45,7 @@
 SUCCESSOR_CHECK_S = 0.04
 REPLICATE_RETRY_S = 0.02
 REPLICATE_LIMIT_S = 1.0
+CLOSING_LIMIT_S = 0.3
 
 log = get_logger("lease")
 
@@ -89,6 +90,7 @@
         self._reading_received_at = NEVER
         self._in_force_until = NEVER
         self._wake = trio.Event()
+        self._closing = False
         self._stopped = False
         self.pending_successor = ""
         self._row_lock = trio.Lock()
@@ -122,7 +124,9 @@
 
     def may_dispatch(self, unit: UnitId) -> bool:
         """Whether requests of the unit may be sent to the upstream now."""
-        if unit not in self.granted or self.moves.is_leaving(unit) or not self.in_authority():
+        if unit not in self.granted or self.moves.is_leaving(unit) or self._closing:
+            return False
+        if not self.in_authority():
             return False
         return self._ctx.clock.now() < self._in_force_until
 
@@ -180,6 +184,11 @@
         successor = self.successor
         if not successor:
             return False
+        # Results of work that must run once reach the successor before it takes over.
+        self._closing = True
+        with trio.move_on_after(CLOSING_LIMIT_S):
+            for unit in self.granted:
+                await self._ctx.dispatcher.drained(unit)
         self._stopped = True
         try:
             reply = await self._ctx.hub.call(
@@ -189,10 +198,10 @@
             log.info("handover failed", upstream=str(self.id), peer=exc.peer, error=exc.message)
             # The successor may have taken over without its reply getting here. The voucher
             # and the upstream's fence decide; renewing again at the old term is safe.
-            self._stopped = False
+            self._stopped = self._closing = False
             return False
         if not isinstance(reply, Done):
-            self._stopped = False
+            self._stopped = self._closing = False
             return False
         self.end(f"handed over to {successor}")
         return True
--- a/src/acaciasaddle/ownership/_moves.py
+++ b/src/acaciasaddle/ownership/_moves.py
@@ -34,6 +34,7 @@
     from acaciasaddle.ownership._held import HeldUpstream
 
 CHECK_INTERVAL_S = 0.05
+IDLE_INTERVAL_S = 0.25
 ASK_INTERVAL_S = 0.1
 
 log = get_logger("placement")
@@ -55,7 +56,6 @@
         self._leaving: set[UnitId] = set()
         self._asked_at: dict[UnitId, float] = {}
         self._rebalanced_at = float("-inf")
-        self._view: tuple[int, dict[UnitId, UnitAssignment]] = (-1, {})
 
     def is_leaving(self, unit: UnitId) -> bool:
         """Whether the unit is being released."""
@@ -108,21 +108,16 @@
                 log.info("move waits", upstream=str(self._held.id), error=str(exc))
                 self._ctx.mirror.poll_soon()
                 await trio.sleep(CHECK_INTERVAL_S)
-            with trio.move_on_after(CHECK_INTERVAL_S):
+            settled = self._held.reachable and not self._pending()
+            with trio.move_on_after(IDLE_INTERVAL_S if settled else CHECK_INTERVAL_S):
                 await self._ctx.mirror.wait_changed()
 
-    def _own(self) -> dict[UnitId, UnitAssignment]:
+    def _own(self) -> Mapping[UnitId, UnitAssignment]:
         """Return the units that this upstream owns or owned last."""
-        serial = self._ctx.mirror.serial
-        if self._view[0] != serial:
-            mine = str(self._held.id)
-            view = {
-                unit: assignment
-                for unit, assignment in self._ctx.mirror.assignments(self._held.id.service)
-                if mine in (assignment.owner, assignment.previous)
-            }
-            self._view = (serial, view)
-        return self._view[1]
+        return self._ctx.mirror.owners.of(str(self._held.id))
+
+    def _pending(self) -> bool:
+        return any(assignment.previous for assignment in self._own().values())
 
     def _is_confirmed(self, unit: UnitId, assignment: UnitAssignment) -> bool:
         return self._confirmed.get(unit) == assignment.epoch
@@ -304,9 +299,10 @@
         if now - self._rebalanced_at < REBALANCE_INTERVAL_S:
             return
         self._rebalanced_at = now
-        movable = self._movable()
         moves = self._ctx.placement.surplus(self._held.id, MOVE_BATCH)
-        await self._move([move for move in moves if move.unit in movable])
+        if moves:
+            movable = self._movable()
+            await self._move([move for move in moves if move.unit in movable])
 
     def _movable(self) -> dict[UnitId, UnitAssignment]:
         """Return units that are this upstream's for certain."""
--- a/src/acaciasaddle/ownership/_placement.py
+++ b/src/acaciasaddle/ownership/_placement.py
@@ -82,19 +82,16 @@
         usable = {info.id: info for info in self._usable(cfg, upstream.service, group)}
         if upstream not in usable or len(usable) < 2:
             return
-        owned: dict[UpstreamId, list[UnitId]] = {uid: [] for uid in usable}
-        total = 0
-        for unit, assignment in self._mirror.assignments(upstream.service):
-            if unit.group != group or unit.is_pin:
-                continue
-            total += 1
-            if assignment.owner_id in owned:
-                owned[assignment.owner_id].append(unit)
-        fair = _fair_shares(usable, total)
-        count = {uid: len(units) for uid, units in owned.items()}
-        for unit in owned[upstream]:
+        owners = self._mirror.owners
+        fair = _fair_shares(usable, owners.total(upstream.service, group))
+        count = {uid: owners.count(str(uid), group) for uid in usable}
+        if count[upstream] <= fair[upstream] * OVERFULL + 1:
+            return
+        for unit, assignment in list(owners.of(str(upstream)).items()):
             if limit <= 0 or count[upstream] <= fair[upstream] * OVERFULL + 1:
                 return
+            if unit.group != group or unit.is_pin or assignment.owner != str(upstream):
+                continue
             poorest = min(count, key=lambda uid: (count[uid] / fair[uid], str(uid)))
             if count[poorest] >= fair[poorest] * UNDERFULL:
                 return
--- a/src/acaciasaddle/peers/_api.py
+++ b/src/acaciasaddle/peers/_api.py
@@ -120,8 +120,10 @@
         """
 
     @abstractmethod
-    def push_rows(self, rows: Iterable[Row], *, revision: int = 0) -> None:
-        """Send rows to all connected peers without waiting.
+    def push_rows(
+        self, rows: Iterable[Row], *, revision: int = 0, fanout: int | None = None
+    ) -> None:
+        """Send rows to all connected peers, or to ``fanout`` random ones, without waiting.
 
         ``revision`` is not 0 if the rows make a mirror complete up to that revision.
         """
--- a/src/acaciasaddle/peers/_hub.py
+++ b/src/acaciasaddle/peers/_hub.py
@@ -112,9 +112,9 @@
         self._connections: set[Connection] = set()
         self._nursery: trio.Nursery | None = None
         self._listener_scope = trio.CancelScope()
-        self._pushes_in, self._pushes_out = trio.open_memory_channel[tuple[tuple["Row", ...], int]](
-            math.inf
-        )
+        self._pushes_in, self._pushes_out = trio.open_memory_channel[
+            tuple[tuple["Row", ...], int, "int | None"]
+        ](math.inf)
 
     @property
     def address(self) -> str:
@@ -234,24 +234,29 @@
         conn = await self._connection(member, step="peer.work")
         await conn.work(req, body, reply)
 
-    def push_rows(self, rows: Iterable[Row], *, revision: int = 0) -> None:
-        self._pushes_in.send_nowait((tuple(rows), revision))
+    def push_rows(
+        self, rows: Iterable[Row], *, revision: int = 0, fanout: int | None = None
+    ) -> None:
+        self._pushes_in.send_nowait((tuple(rows), revision, fanout))
 
     async def _push_queued(self) -> None:
         # One task for all pushes keeps their order, and slices leave time for heartbeats.
-        async for rows, revision in self._pushes_out:
+        async for rows, revision, fanout in self._pushes_out:
             for part, last in slices(rows):
-                self._push_slice(part, revision if last else 0)
+                self._push_slice(part, revision if last else 0, fanout)
                 await trio.lowlevel.checkpoint()
 
-    def _push_slice(self, rows: tuple[Row, ...], revision: int) -> None:
+    def _push_slice(self, rows: tuple[Row, ...], revision: int, fanout: int | None) -> None:
         try:
             plain = encode(Rows(rows=rows, revision=0))
             complete = encode(Rows(rows=rows, revision=revision)) if revision else plain
         except PeerProtocolError as exc:
             log.error("rows not pushed", step=exc.step, reason=exc.message)
             return
-        for conn in self._push_targets():
+        targets = list(self._push_targets())
+        if fanout is not None and fanout < len(targets):
+            targets = self._rng.sample(targets, fanout)
+        for conn in targets:
             conn.push(complete, incomplete=plain)
 
     def _push_targets(self) -> Iterable[Connection]:
