--- /dev/null
+++ b/features/wire/codec.feature
@@ -0,0 +1,42 @@
+Feature: Codec
+  Messages survive encoding unchanged, and malformed data is reported as a protocol error only.
+
+  Scenario: every type of message is decoded as it was encoded
+    Given the codec's samples of every message, call and reply type
+    When the codec encodes and decodes each sample
+    Then the codec returns each sample unchanged
+
+  Scenario Outline: malformed data raises nothing but a protocol error
+    Given the codec's samples of every message, call and reply type
+    When the codec decodes 3000 inputs of <kind> with seed <seed>
+    Then the codec raised only protocol errors
+
+    Examples:
+      | kind                 | seed |
+      | random bytes         | 11   |
+      | packed random bytes  | 12   |
+      | samples with changes | 13   |
+      | truncated samples    | 14   |
+
+  Scenario Outline: content that no peer would send is refused
+    When the codec decodes <content>
+    Then the codec raises a protocol error
+
+    Examples:
+      | content                                |
+      | an empty frame                         |
+      | a row whose value is a list            |
+      | a row whose value is nested too deeply |
+      | packed zeros that unpack to 64 MiB     |
+      | headers with a name but no value       |
+      | a record with an unknown state         |
+
+  Scenario Outline: values that the schema cannot hold are refused before they are sent
+    When the codec encodes <value>
+    Then the codec raises a protocol error
+
+    Examples:
+      | value                      |
+      | a status of 70000          |
+      | a header with a surrogate  |
+      | a row with a NaN           |
