--- a/src/acaciasaddle/peers/_connection.py
+++ b/src/acaciasaddle/peers/_connection.py
@@ -19,6 +19,7 @@
 from acaciasaddle.observe import get_logger
 from acaciasaddle.peers._limits import ACCEPTED_IDLE_S
 from acaciasaddle.peers._limits import ACCEPTED_SILENCE_S
+from acaciasaddle.peers._limits import HEARTBEAT_S
 from acaciasaddle.peers._limits import IDLE_S
 from acaciasaddle.peers._limits import PARTNER_SILENCE_S
 from acaciasaddle.peers._limits import PROBE_AFTER_S
@@ -38,6 +39,7 @@
 from acaciasaddle.wire import OpenWork
 from acaciasaddle.wire import Part
 from acaciasaddle.wire import PartAssembler
+from acaciasaddle.wire import Reply
 from acaciasaddle.wire import ReplyEnvelope
 from acaciasaddle.wire import Rows
 from acaciasaddle.wire import RowsPart
@@ -65,7 +67,6 @@
     from acaciasaddle.wire import FrameStream
     from acaciasaddle.wire import Hello
     from acaciasaddle.wire import Message
-    from acaciasaddle.wire import Reply
 
 log = get_logger("peers")
 
@@ -233,8 +234,10 @@
             owed.append(next(iter(self._calls.values())).since)
         if not owed:
             return
+        # A partner is sent a heartbeat in each period, so its silence counts from the last message.
         limit = PARTNER_SILENCE_S if self.partner else SILENCE_S
-        silence = now - max(since, min(owed))
+        lead = HEARTBEAT_S if self.partner else 0.0
+        silence = now - max(since, min(owed) - lead)
         if silence > limit:
             self._silent(silence)
 
@@ -499,7 +502,10 @@
         if handler is None:
             return Failed(reason=f"calls of kind {kind} are not served", step="peer.call")
         try:
-            return await handler(self.member, call)
+            reply = await handler(self.member, call)
+            if not isinstance(reply, Reply):
+                raise TypeError(f"the handler returned {reply!r}")
+            return reply
         except AcaciasaddleError as exc:
             log.warning(
                 "call failed", step=exc.step, peer=self.member, kind=kind, reason=exc.message
--- a/src/acaciasaddle/peers/_streams.py
+++ b/src/acaciasaddle/peers/_streams.py
@@ -256,10 +256,10 @@
     async def head(self, status: int, headers: Headers) -> None:
         if self._started:
             raise PeerError("the answer has begun already", step="peer.reply", peer=self.peer)
+        encoded = encode(WorkHead(stream=self.number, status=status, headers=headers))
         await self._queue.space(Priority.CONTROL)
+        self._queue.put(Priority.CONTROL, encoded)
         self._started = True
-        message = WorkHead(stream=self.number, status=status, headers=headers)
-        self._queue.put(Priority.CONTROL, encode(message))
 
     async def data(self, chunk: bytes) -> None:
         self._check_answering()
