Supervise connections by deadlines, and measure peer connections

Change: it wakes for heartbeats, checks and the earliest silence limit of a partner, and at once when the partners change. benchmarks/peers.py measures CPU time and bytes between two processes.

--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,285 @@
+"""Measures CPU time and bytes of peer connections between two processes on loopback.
+
+Usage: ``PYTHONPATH=src python benchmarks/peers.py [--requests 5000] [--mib 256] [--seconds 10]``
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import multiprocessing
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import click
+import trio
+
+from acaciasaddle.clock import BootClock
+from acaciasaddle.model import BodySource
+from acaciasaddle.model import ReplySink
+from acaciasaddle.model import Row
+from acaciasaddle.model import UnitAssignment
+from acaciasaddle.model import UnitId
+from acaciasaddle.model import UnitsRow
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.model import UpstreamRow
+from acaciasaddle.model import WorkRequest
+from acaciasaddle.observe import NullMetrics
+from acaciasaddle.observe import configure_logs
+from acaciasaddle.peers import TcpPeerHub
+from acaciasaddle.peers import connect_tcp
+from acaciasaddle.wire import Failed
+from acaciasaddle.wire import Handover
+
+if TYPE_CHECKING:
+    from multiprocessing.connection import Connection as Pipe
+
+    from acaciasaddle.model import Headers
+    from acaciasaddle.wire import Call
+    from acaciasaddle.wire import Reply
+
+CLIENT = "client@1"
+SERVER = "server@1"
+CHUNK = bytes(65_536)
+CHUNKS_PER_MIB = 16
+CPU_TIME = Handover(upstream=UpstreamId("a", "b"), term=0)
+"""Stands for the question for the server's CPU time; its answer is in ``Failed.reason``."""
+
+REQUEST = WorkRequest(
+    request_id="0190c2d8-7a4f-7b1e-9d61-0b3c8f2a1e55",
+    service="bookings",
+    unit=UnitId("bookings", "default", 17),
+    upstream=UpstreamId("bookings", "u-07"),
+    key="venue-4711",
+    kind="availability",
+    rank="urgent",
+    once=False,
+    bulky=False,
+    caller="couple-88",
+    idempotency_key="",
+    method="GET",
+    target="/bookings/venue-4711/availability?from=2026-12-01",
+    headers=(
+        ("accept", "application/json"),
+        ("host", "entry"),
+        ("user-agent", "load/1"),
+        ("x-client-id", "couple-88"),
+    ),
+    body_length=0,
+    budget_ms=250,
+)
+HEADERS = (("content-type", "application/json"), ("content-length", "200"))
+
+
+class CountingStream(trio.abc.Stream):
+    """Counts the bytes of a stream in both directions."""
+
+    def __init__(self, inner: trio.abc.Stream, counts: list[int]) -> None:
+        self._inner = inner
+        self._counts = counts
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        self._counts[0] += len(data)
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        data = await self._inner.receive_some(max_bytes)
+        self._counts[1] += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        await self._inner.aclose()
+
+
+class Chunks(BodySource):
+    """A body of some chunks."""
+
+    def __init__(self, count: int) -> None:
+        self._left = count
+
+    async def receive(self) -> bytes:
+        if self._left == 0:
+            return b""
+        self._left -= 1
+        return CHUNK
+
+
+class Discard(ReplySink):
+    """Discards an answer."""
+
+    async def head(self, status: int, headers: Headers) -> None:
+        pass
+
+    async def data(self, chunk: bytes) -> None:
+        pass
+
+    async def end(self) -> None:
+        pass
+
+    @property
+    def started(self) -> bool:
+        return False
+
+
+def hub_of(member: str, counts: list[int]) -> TcpPeerHub:
+    """Return a hub on a free port of loopback."""
+
+    async def connect(address: str) -> trio.abc.Stream:
+        return CountingStream(await connect_tcp(address), counts)
+
+    return TcpPeerHub(
+        member=member,
+        data_centre="bench",
+        address="127.0.0.1:0",
+        clock=BootClock(),
+        metrics=NullMetrics(),
+        connect=connect,
+    )
+
+
+async def answer(req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
+    """Answer with 200 bytes after reading the body."""
+    while await body.receive():
+        pass
+    await reply.head(200, HEADERS)
+    await reply.data(CHUNK[:200])
+    await reply.end()
+
+
+async def cpu_time(member: str, call: Call) -> Reply:
+    """Answer with the CPU time of this process."""
+    return Failed(reason=str(time.process_time()), step="")
+
+
+def serve(pipe: Pipe) -> None:
+    """Run the server until the pipe is closed."""
+
+    async def main() -> None:
+        hub = hub_of(SERVER, [0, 0])
+        hub.on_work(answer)
+        hub.on_call(Handover, cpu_time)
+        hub.set_digest(config_version=2_600, revision=90_210)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(hub.run)
+            pipe.send(hub.address)
+            await trio.to_thread.run_sync(pipe.recv)
+            nursery.cancel_scope.cancel()
+
+    configure_logs(level="warning")
+    trio.run(main)
+
+
+class Bench:
+    """Measures from the client's side."""
+
+    def __init__(self, hub: TcpPeerHub, counts: list[int]) -> None:
+        self.hub = hub
+        self.counts = counts
+
+    async def readings(self) -> tuple[float, float, int, int]:
+        reply: Any = await self.hub.call(SERVER, CPU_TIME, timeout=5)
+        return time.process_time(), float(reply.reason), *self.counts
+
+    async def measure(self, label: str, count: int, action: Any) -> None:
+        """Run an action and print CPU time and bytes, per item of ``count``."""
+        before = await self.readings()
+        start = time.perf_counter()
+        await action()
+        seconds = time.perf_counter() - start
+        after = await self.readings()
+        client, server, sent, received = (
+            (b - a) / count for a, b in zip(before, after, strict=True)
+        )
+        click.echo(
+            f"{label:42} client {client * 1e6:8.1f} us, server {server * 1e6:8.1f} us, "
+            f"{sent:10.1f} bytes out, {received:8.1f} in, {count / seconds:9.1f} per s"
+        )
+
+    async def requests(self, count: int, tasks: int, chunks: int) -> None:
+        req = dataclasses.replace(REQUEST, body_length=-1 if chunks else 0)
+
+        async def some() -> None:
+            for _ in range(count // tasks):
+                await self.hub.work(SERVER, req, Chunks(chunks), Discard())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(tasks):
+                nursery.start_soon(some)
+
+    async def push(self, row: Row, count: int) -> None:
+        """Push rows one by one, as they arise, and wait until they have been sent."""
+        for _ in range(count):
+            self.hub.push_rows((row,))
+        seen = -1
+        while self.counts[0] != seen:
+            seen = self.counts[0]
+            await trio.sleep(0.1)
+
+
+def upstream_row() -> Row:
+    """Return a row that names the holder of an upstream."""
+    row = UpstreamRow(holder="entry-07@5c1d2a90", successor="entry-11@0d99ab31", term=41)
+    return Row(
+        key="upstream/bookings/u-07", version=41, revision=90_210, value=row.to_json("w" * 36)
+    )
+
+
+def units_row() -> Row:
+    """Return a row with 64 shards."""
+    units = {
+        shard: UnitAssignment(owner=f"bookings/u-{shard % 30:02}", previous="", epoch=3)
+        for shard in range(64)
+    }
+    value = UnitsRow(shards=256, units=units).to_json("w" * 36)
+    return Row(key="units/bookings/default/0", version=9, revision=90_211, value=value)
+
+
+async def measure_all(address: str, requests: int, mib: int, seconds: float) -> None:
+    """Print all measurements."""
+    counts = [0, 0]
+    hub = hub_of(CLIENT, counts)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(hub.run)
+        hub.set_digest(config_version=2_600, revision=90_210)
+        hub.set_members({SERVER: address})
+        bench = Bench(hub, counts)
+        await bench.requests(200, 1, 0)
+        for tasks in (1, 50):
+            label = f"request without body, {tasks} at a time"
+            await bench.measure(label, requests, lambda n=tasks: bench.requests(requests, n, 0))
+        for streams in (1, 8):
+            label = f"MiB of body, {streams} streams"
+            chunks = mib * CHUNKS_PER_MIB // streams
+            await bench.measure(label, mib, lambda n=streams, c=chunks: bench.requests(n, n, c))
+        for name, row in (("upstream", upstream_row()), ("units, 64 shards", units_row())):
+            label = f"row pushed ({name})"
+            await bench.measure(label, 500, lambda row=row: bench.push(row, 500))
+        await bench.measure("second without a partner", seconds, lambda: trio.sleep(seconds))
+        hub.set_partners(frozenset({SERVER}))
+        await bench.measure("second with a partner", seconds, lambda: trio.sleep(seconds))
+        nursery.cancel_scope.cancel()
+
+
+@click.command()
+@click.option("--requests", default=5000, help="Number of requests without body.")
+@click.option("--mib", default=256, help="Size of the bodies in MiB.")
+@click.option("--seconds", default=10, help="Time of measuring heartbeats.")
+def main(requests: int, mib: int, seconds: int) -> None:
+    """Measure peer connections between two processes on loopback."""
+    configure_logs(level="warning")
+    here, there = multiprocessing.Pipe()
+    ctx = multiprocessing.get_context("spawn")
+    server = ctx.Process(target=serve, args=(there,))
+    server.start()
+    try:
+        trio.run(measure_all, here.recv(), requests, mib, float(seconds))
+    finally:
+        here.send(None)
+        server.join()
+
+
+if __name__ == "__main__":
+    main()
--- a/features/steps/peers_connections_steps.py
+++ b/features/steps/peers_connections_steps.py
@@ -395,6 +395,7 @@
                 await timed(context, lambda: work("b@1", REQUEST, Body(), Caller()))
                 context.refusal = context.error
                 await timed(context, hub.stop)
+            await trio.sleep(0.01)
             context.left = [*hub._connections, *hosts.hubs["a"]._connections]
 
         ConnectionSteps.run(context, script)
--- a/src/acaciasaddle/peers/_connection.py
+++ b/src/acaciasaddle/peers/_connection.py
@@ -222,24 +222,29 @@
             ),
         )
 
-    def check_silence(self, now: float) -> None:
-        """Close the connection if it owes an answer and has delivered nothing for too long."""
+    def silent_at(self) -> float:
+        """Return when the connection counts as silent if nothing arrives; infinity if it owes
+        no answer."""
         since = max(self._last_received, self._state.awake_since)
         if not self.dialled:
-            if self._incoming and now - since > ACCEPTED_SILENCE_S:
-                self._silent(now - since)
-            return
+            return since + ACCEPTED_SILENCE_S if self._incoming else math.inf
         owed = [next(iter(self._beats.values()))] if self._beats else []
         if self._calls:
             owed.append(next(iter(self._calls.values())).since)
         if not owed:
+            return math.inf
+        if self.partner:
+            # A partner is sent a heartbeat in each period, so its silence counts from the last
+            # message.
+            return max(since, min(owed) - HEARTBEAT_S) + PARTNER_SILENCE_S
+        return max(since, min(owed)) + SILENCE_S
+
+    def check_silence(self, now: float) -> None:
+        """Close the connection if it owes an answer and has delivered nothing for too long."""
+        if now < self.silent_at():
             return
-        # A partner is sent a heartbeat in each period, so its silence counts from the last message.
-        limit = PARTNER_SILENCE_S if self.partner else SILENCE_S
-        lead = HEARTBEAT_S if self.partner else 0.0
-        silence = now - max(since, min(owed) - lead)
-        if silence > limit:
-            self._silent(silence)
+        self._state.metrics.count("peers.silent")
+        self.close(f"nothing was received for {now - self._last_received:.2f} s")
 
     def check_use(self, now: float) -> None:
         """Probe the connection if it is in use and quiet; close it if it is idle."""
@@ -265,10 +270,6 @@
         if now - quiet_since > PROBE_AFTER_S:
             self.heartbeat()
 
-    def _silent(self, silence: float) -> None:
-        self._state.metrics.count("peers.silent")
-        self.close(f"nothing was received for {silence:.2f} s")
-
     # Requests
 
     async def work(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
--- a/src/acaciasaddle/peers/_hub.py
+++ b/src/acaciasaddle/peers/_hub.py
@@ -27,7 +27,6 @@
 from acaciasaddle.peers._limits import OTHERS_CHECK_S
 from acaciasaddle.peers._limits import PARTNER_BACKOFF_MAX_S
 from acaciasaddle.peers._limits import PAUSE_S
-from acaciasaddle.peers._limits import TICK_S
 from acaciasaddle.peers._queue import Priority
 from acaciasaddle.peers._rows import slices
 from acaciasaddle.peers._state import HubState
@@ -109,6 +108,7 @@
         self._rng = rng or random.Random()
         self._peers: dict[str, _Peer] = {}
         self._partners: frozenset[str] = frozenset()
+        self._partners_changed = trio.Event()
         self._connections: set[Connection] = set()
         self._nursery: trio.Nursery | None = None
         self._listener_scope = trio.CancelScope()
@@ -176,7 +176,11 @@
         self._state.forget(frozenset(members))
 
     def set_partners(self, partners: frozenset[str]) -> None:
-        self._partners = partners - {self._state.member}
+        partners -= {self._state.member}
+        if partners == self._partners:
+            return
+        self._partners = partners
+        self._partners_changed.set()
         for member, peer in self._peers.items():
             if peer.conn is not None:
                 peer.conn.partner = member in self._partners
@@ -421,34 +425,34 @@
             await frames.aclose()
 
     async def _supervise(self) -> None:
-        now = self._state.clock.now()
-        next_beat = next_digest = next_check = now
-        last_tick = now
+        next_beat = next_digest = next_check = self._state.clock.now()
         while True:
-            await trio.sleep(TICK_S)
             now = self._state.clock.now()
-            if now - last_tick > PAUSE_S:
-                log.warning(
-                    "this process was paused", step="peer.supervise", seconds=now - last_tick
-                )
-                self._state.awake_since = now
-            last_tick = now
+            if now >= next_beat:
+                next_beat = max(next_beat + HEARTBEAT_S, now)
+                for member in self._partners:
+                    self._beat(member)
             check_others = now >= next_check
             if check_others:
                 next_check = now + OTHERS_CHECK_S
+            soonest = next_check if not self._partners else min(next_beat, next_check)
             for conn in list(self._connections):
                 if conn.partner or check_others:
                     conn.check_silence(now)
                     conn.check_use(now)
-            if now >= next_beat - TICK_S / 2:
-                next_beat = max(next_beat + HEARTBEAT_S, now)
-                for member in self._partners:
-                    self._beat(member)
+                    soonest = min(soonest, conn.silent_at()) if conn.partner else soonest
             if now >= next_digest:
                 next_digest = now + DIGEST_PERIOD_S
                 others = [member for member in self._peers if member not in self._partners]
                 for member in self._rng.sample(others, min(DIGEST_PEERS, len(others))):
                     self._beat(member)
+            with trio.move_on_after(max(soonest - now, 0)):
+                await self._partners_changed.wait()
+            self._partners_changed = trio.Event()
+            late = self._state.clock.now() - soonest
+            if late > PAUSE_S:
+                log.warning("this process was paused", step="peer.supervise", seconds=late)
+                self._state.awake_since = self._state.clock.now()
 
     def _beat(self, member: str) -> None:
         peer = self._peers.get(member)
--- a/src/acaciasaddle/peers/_limits.py
+++ b/src/acaciasaddle/peers/_limits.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 HEARTBEAT_S = 0.08
-TICK_S = 0.04
-"""Period of the supervising task; two ticks are a heartbeat period."""
-
 PARTNER_SILENCE_S = 0.24
 """Three heartbeats. A successor vouches for 250 ms, so a later finding would come too late."""
 
@@ -27,8 +24,8 @@
 connection."""
 
 PAUSE_S = 0.2
-"""Ticks further apart than this mean that this process was paused. Silence is then counted anew,
-since the messages of the peers wait unread in the socket."""
+"""A supervising task that wakes later than planned by this means that the process was paused.
+Silence is then counted anew, since the messages of the peers wait unread in the socket."""
 
 DIAL_TIMEOUT_S = 1.0
 BACKOFF_MIN_S = 0.05
