--- a/src/acaciasaddle/emulator/_fleet.py
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -39,6 +39,8 @@
 
 RECORD = TypeAdapter(UpstreamRecord)
 
+_given_ports: set[int] = set()
+
 
 class FleetError(AcaciasaddleError):
     """A process of the fleet did not start or answer."""
@@ -322,11 +324,14 @@
     """
     while True:
         port = random.randrange(*SERVER_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        _given_ports.add(port)
         return port
 
 
