--- /dev/null
+++ b/features/ownership/rendezvous.feature
@@ -0,0 +1,24 @@
+Feature: Weighted rendezvous hashing
+  Guards against units that move although their owner stays, and against shares that do not follow
+  the weights.
+
+  Scenario: shares follow the weights
+    Given rendezvous candidates "a=1, b=2, c=1, d=0"
+    Then 20000 rendezvous units are shared as "a=0.25, b=0.5, c=0.25, d=0" within 0.02
+
+  Scenario Outline: only the units of the changed candidate move
+    Given rendezvous candidates "a=2, b=2, c=6, d=2"
+    When the rendezvous candidates become "<after>"
+    Then of 5000 rendezvous units only those <moved> move
+
+    Examples:
+      | after                     | moved  |
+      | a=2, b=2, c=6             | from d |
+      | a=2, b=2, c=6, d=2, e=4   | to e   |
+      | a=2, b=2, c=3, d=2        | from c |
+      | a=2, b=2, c=6, d=5        | to d   |
+      | d=2, c=6, b=2, a=2        | none   |
+
+  Scenario: without a positive weight there is no owner
+    Given rendezvous candidates "a=0"
+    Then a rendezvous unit has no owner
--- /dev/null
+++ b/features/steps/operator_api_plan_steps.py
@@ -0,0 +1,87 @@
+"""Steps of operator_api/plan.feature."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from behave import given
+from behave import then
+
+from acaciasaddle.config import ConfigError
+from acaciasaddle.config import parse_config
+from acaciasaddle.operator_api import Configuration
+from acaciasaddle.operator_api import Plan
+from acaciasaddle.operator_api import from_json
+from acaciasaddle.operator_api import plan_change
+from acaciasaddle.operator_api import to_json
+
+
+class PlanSteps:
+    """Guards against changes that a plan leaves out."""
+
+    @staticmethod
+    def configuration(context: Any) -> Configuration:
+        inventory, rules = parse_config(context.value["inventory"], context.value["rules"])
+        return Configuration(inventory=inventory, rules=rules)
+
+    @staticmethod
+    def plan(context: Any) -> Plan:
+        plan = plan_change(context.before, PlanSteps.configuration(context), version=3)
+        return from_json(Plan, json.dumps(to_json(plan)).encode())
+
+    @staticmethod
+    @given("the plan starts from this configuration")
+    def start(context: Any) -> None:
+        context.before = PlanSteps.configuration(context)
+
+    @staticmethod
+    @then('the plan has the changes "{expected}"')
+    def changes(context: Any, expected: str) -> None:
+        found = []
+        for change in PlanSteps.plan(context).changes:
+            fields = ", ".join(field.field for field in change.fields)
+            text = f"{change.action} {change.subject} {change.name}"
+            found.append(f"{text}: {fields}" if fields else text)
+        assert (", ".join(found) or "nothing") == expected, found
+
+    @staticmethod
+    @then('the plan empties "{expected}"')
+    def empties(context: Any, expected: str) -> None:
+        emptied = ", ".join(PlanSteps.plan(context).emptied) or "nothing"
+        assert emptied == expected, emptied
+
+    @staticmethod
+    @then('the plan moves between {least:g} and {most:g} of the units of "{group}"')
+    def moves(context: Any, least: float, most: float, group: str) -> None:
+        shares = {f"{m.service}/{m.group}": m.share for m in PlanSteps.plan(context).moves}
+        assert least <= shares[group] <= most, shares
+
+    @staticmethod
+    @then('the plan warns of "{expected}"')
+    def warns(context: Any, expected: str) -> None:
+        usual = plan_change(context.before, context.before).warnings
+        new = [text for text in PlanSteps.plan(context).warnings if text not in usual]
+        if expected == "nothing new":
+            new = [text for text in new if not text.startswith("about")]
+            assert not new, new
+            return
+        assert any(expected in text for text in new), new
+
+    @staticmethod
+    @then('the plan fails with "{problem}"')
+    def fails(context: Any, problem: str) -> None:
+        try:
+            plan = PlanSteps.plan(context)
+        except ConfigError as exc:
+            assert problem in exc.problems, exc.problems
+            return
+        raise AssertionError(plan)
+
+    @staticmethod
+    @then("the first plan has {count:d} additions and moves nothing")
+    def first(context: Any, count: int) -> None:
+        plan = plan_change(None, context.before)
+        added = [change for change in plan.changes if change.action == "added"]
+        assert len(added) == len(plan.changes) == count, plan.changes
+        assert (plan.moved_share, plan.emptied) == (0, ()), plan
--- /dev/null
+++ b/src/acaciasaddle/operator_api/_plan.py
@@ -0,0 +1,307 @@
+"""What a change of inventory and rules would do."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Literal
+
+from acaciasaddle.config import DEFAULT_GROUP
+from acaciasaddle.config import ConfigError
+from acaciasaddle.config import Inventory
+from acaciasaddle.config import Rules
+from acaciasaddle.config import caller_data_centres
+from acaciasaddle.config import check
+from acaciasaddle.config import group_shards
+from acaciasaddle.config import owner_candidates
+from acaciasaddle.config import upstreams_of
+from acaciasaddle.ownership._rendezvous import rendezvous_owner
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+SAMPLED_SHARDS = 1024
+"""Shards of a group that the estimate hashes; its standard error is then below 1.6%."""
+LARGE_MOVE_SHARE = 0.25
+"""Above this share of moving units the plan warns; emptying one data centre of four moves it."""
+
+_NESTED = {"upstreams", "ranks", "kinds", "groups", "access"}
+"""Fields whose entries are compared one by one."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FieldChange:
+    """A field with another value. The values are as in the JSON files."""
+
+    field: str
+    before: Any
+    after: Any
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """An entry that is added, removed or changed; ``fields`` only for the latter.
+
+    Entries within a service are named ``service/name``.
+    """
+
+    action: Literal["added", "removed", "changed"]
+    subject: Literal[
+        "data centre", "service", "upstream", "rank", "kind", "group", "access", "rule"
+    ]
+    name: str
+    fields: tuple[FieldChange, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupMoves:
+    """Estimated share of a group's units that get another owner, from 0 to 1."""
+
+    service: str
+    group: str
+    units: int
+    share: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What would change compared with the configuration in force.
+
+    ``version`` is the version in force, 0 if there is none. ``emptied`` names upstreams
+    (``service/name``) that lose all units. ``moved_share`` is the estimated share of all units
+    that move; it compares the targets of placement, not the moves made for load since.
+    """
+
+    version: int
+    changes: tuple[Change, ...]
+    emptied: tuple[str, ...]
+    moves: tuple[GroupMoves, ...]
+    moved_share: float
+    warnings: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """An inventory with its rules."""
+
+    inventory: Inventory
+    rules: Rules
+
+
+def plan_change(before: Configuration | None, after: Configuration, *, version: int = 0) -> Plan:
+    """Compare a new configuration with the one in force, which has the given version.
+
+    Raises ``ConfigError`` if the new configuration is not valid by itself or must not follow the
+    one in force.
+    """
+    check(after.inventory, after.rules)
+    if before is None:
+        before = Configuration(
+            inventory=Inventory(data_centres=(), services=()), rules=Rules(ranks=(), kinds=())
+        )
+    _check_shards(before, after)
+    changes = tuple(_changes(before, after))
+    moves = tuple(_moves(before, after))
+    units = sum(group.units for group in moves)
+    moved_share = sum(group.share * group.units for group in moves) / units if units else 0.0
+    return Plan(
+        version=version,
+        changes=changes,
+        emptied=tuple(sorted(_owners(before) - _owners(after))),
+        moves=moves,
+        moved_share=moved_share,
+        warnings=tuple(_warnings(before, after, changes, moved_share)),
+    )
+
+
+def _check_shards(before: Configuration, after: Configuration) -> None:
+    """A key's unit depends on the number of shards, which is therefore fixed at creation."""
+    old = group_shards(before.inventory, before.rules)
+    new = group_shards(after.inventory, after.rules)
+    places = {
+        (service.name, DEFAULT_GROUP): f"inventory: $.services[{index}].shards"
+        for index, service in enumerate(after.inventory.services)
+    } | {
+        (group.service, group.name): f"rules: $.groups[{index}].shards"
+        for index, group in enumerate(after.rules.groups)
+    }
+    problems = tuple(
+        f"{places[group]}: {shards} is not valid; expected {old[group]}, "
+        "the number with which the group was created"
+        for group, shards in new.items()
+        if old.get(group, shards) != shards
+    )
+    if problems:
+        raise ConfigError(
+            "the number of shards cannot be changed", problems=problems, step="config.plan"
+        )
+
+
+def _changes(before: Configuration, after: Configuration) -> Iterator[Change]:
+    old, new = before.inventory, after.inventory
+    yield from _compare(
+        "data centre",
+        {entry.name: entry for entry in old.data_centres},
+        {entry.name: entry for entry in new.data_centres},
+    )
+    yield from _compare(
+        "service",
+        {entry.name: entry for entry in old.services},
+        {entry.name: entry for entry in new.services},
+    )
+    yield from _compare(
+        "upstream",
+        {str(key): entry for key, entry in upstreams_of(old).items()},
+        {str(key): entry for key, entry in upstreams_of(new).items()},
+    )
+    rules, new_rules = before.rules, after.rules
+    yield from _compare(
+        "rank",
+        {entry.name: entry for entry in rules.ranks},
+        {entry.name: entry for entry in new_rules.ranks},
+    )
+    yield from _compare(
+        "kind",
+        {entry.name: entry for entry in rules.kinds},
+        {entry.name: entry for entry in new_rules.kinds},
+    )
+    yield from _compare(
+        "group",
+        {f"{entry.service}/{entry.name}": entry for entry in rules.groups},
+        {f"{entry.service}/{entry.name}": entry for entry in new_rules.groups},
+    )
+    yield from _compare(
+        "access",
+        {entry.caller: entry for entry in rules.access},
+        {entry.caller: entry for entry in new_rules.access},
+    )
+    yield from _compare("rule", {"rules": rules}, {"rules": new_rules})
+    order = [entry.name for entry in rules.ranks]
+    new_order = [entry.name for entry in new_rules.ranks]
+    common = set(order) & set(new_order)
+    if [name for name in order if name in common] != [name for name in new_order if name in common]:
+        field = FieldChange(field="order", before=order, after=new_order)
+        yield Change(action="changed", subject="rule", name="ranks", fields=(field,))
+
+
+def _compare(subject: Any, before: Mapping[str, Any], after: Mapping[str, Any]) -> Iterator[Change]:
+    for name in sorted(after.keys() - before.keys()):
+        yield Change(action="added", subject=subject, name=name)
+    for name in sorted(before.keys() - after.keys()):
+        yield Change(action="removed", subject=subject, name=name)
+    for name in sorted(before.keys() & after.keys()):
+        fields = tuple(_field_changes(before[name], after[name]))
+        if fields:
+            yield Change(action="changed", subject=subject, name=name, fields=fields)
+
+
+def _field_changes(before: Any, after: Any) -> Iterator[FieldChange]:
+    for field in dataclasses.fields(before):
+        old, new = getattr(before, field.name), getattr(after, field.name)
+        if old != new and field.name not in _NESTED:
+            yield FieldChange(field=field.name, before=old, after=new)
+
+
+def _moves(before: Configuration, after: Configuration) -> Iterator[GroupMoves]:
+    old_shards = group_shards(before.inventory, before.rules)
+    for (service, group), shards in group_shards(after.inventory, after.rules).items():
+        if (service, group) not in old_shards:
+            continue
+        old = owner_candidates(before.inventory, before.rules, service, group)
+        new = owner_candidates(after.inventory, after.rules, service, group)
+        share = _moved_share(f"{service}/{group}", shards, old, new)
+        yield GroupMoves(service=service, group=group, units=shards, share=share)
+
+
+def _moved_share(
+    group: str,
+    shards: int,
+    old: tuple[tuple[str, float], ...],
+    new: tuple[tuple[str, float], ...],
+) -> float:
+    if not old or sorted(old) == sorted(new):
+        return 0.0
+    count = min(shards, SAMPLED_SHARDS)
+    sample = [index * shards // count for index in range(count)]
+    moved = sum(
+        rendezvous_owner(f"{group}/{shard}", old) != rendezvous_owner(f"{group}/{shard}", new)
+        for shard in sample
+    )
+    return moved / len(sample)
+
+
+def _owners(cfg: Configuration) -> set[str]:
+    """Return the upstreams that own units of any group."""
+    return {
+        name
+        for service, group in group_shards(cfg.inventory, cfg.rules)
+        for name, _ in owner_candidates(cfg.inventory, cfg.rules, service, group)
+    }
+
+
+def _warnings(
+    before: Configuration, after: Configuration, changes: tuple[Change, ...], moved_share: float
+) -> Iterator[str]:
+    if moved_share > LARGE_MOVE_SHARE:
+        yield f"about {moved_share:.0%} of all units move"
+    active_before = _owners(before)
+    for change in changes:
+        if change.action == "removed" and change.subject == "upstream":
+            if change.name in active_before:
+                yield (
+                    f"upstream {change.name} is removed while it is active; with the state "
+                    "leaving it would be drained first"
+                )
+        elif change.action == "removed" and change.subject == "kind":
+            yield f"requests of kind {change.name} will be refused"
+        elif change.action != "changed" and change.subject == "group" and before.rules.ranks:
+            yield f"keys of group {change.name} get other owners as soon as a host sees the change"
+        for field in change.fields:
+            if text := _field_warning(change, field):
+                yield text
+    yield from _unserved_callers(after)
+    used = {kind.service for kind in after.rules.kinds}
+    for service in after.inventory.services:
+        if service.name not in used:
+            yield f"no kind of the rules leads to service {service.name}"
+    if after.rules.data_centre_failover_s is not None:
+        yield "rule data_centre_failover_s has no effect yet"
+
+
+def _field_warning(change: Change, field: FieldChange) -> str:
+    name = change.name
+    match change.subject, field.field, field.after:
+        case "upstream", "address", _:
+            return f"upstream {name} keeps its units at another address, without their state"
+        case "upstream", "data_centre", _:
+            return f"upstream {name} gets a holder in another data centre"
+        case "upstream", "checks_orders", False:
+            return f"upstream {name} no longer checks orders; takeovers of it take longer"
+        case "group", "key_prefix", _:
+            return f"keys of group {name} get other owners as soon as a host sees the change"
+        case "kind", "once", False:
+            return f"requests of kind {name} may run more than once"
+        case "kind", "once", True:
+            return f"requests of kind {name} without an Idempotency-Key header will be refused"
+        case "rule", "caller_header", _:
+            return "a repeat sent after the change is not recognised as one sent before it"
+        case "rule", "once_window_s", _ if field.after > field.before:
+            return (
+                "records of once requests older than the present once_window_s have been dropped; "
+                "their repeats are recognised only for requests sent after the change"
+            )
+    return ""
+
+
+def _unserved_callers(cfg: Configuration) -> Iterator[str]:
+    """Warn of callers that no upstream of some group may serve."""
+    upstreams = {str(key): entry for key, entry in upstreams_of(cfg.inventory).items()}
+    for service, group in group_shards(cfg.inventory, cfg.rules):
+        candidates = owner_candidates(cfg.inventory, cfg.rules, service, group)
+        centres = {upstreams[name].data_centre for name, _ in candidates}
+        for entry in cfg.rules.access:
+            if not centres & caller_data_centres(cfg.inventory, cfg.rules, entry.caller):
+                yield f"caller {entry.caller} cannot use keys of group {service}/{group}"
