State why the platform client does without a connection pool

The doc comment said that httpcore's pool costs more than the exchange itself. The reasons that remain are stated instead. A condition in Classifier that always held is removed.

--- a/src/acaciasaddle/config/_fields.py
+++ b/src/acaciasaddle/config/_fields.py
@@ -43,7 +43,7 @@
     return value
 
 
-def _split_address(value: str, *, lowest_port: int) -> str:
+def _address(value: str, *, lowest_port: int) -> str:
     host, _, port = value.rpartition(":")
     if host.startswith("[") and host.endswith("]"):
         host = host[1:-1]
@@ -59,11 +59,11 @@
 
 
 def _listen_address(value: str) -> str:
-    return _split_address(value, lowest_port=0)
+    return _address(value, lowest_port=0)
 
 
 def _peer_address(value: str) -> str:
-    return _split_address(value, lowest_port=1)
+    return _address(value, lowest_port=1)
 
 
 def _method(value: str) -> str:
--- a/src/acaciasaddle/config/_keys.py
+++ b/src/acaciasaddle/config/_keys.py
@@ -113,7 +113,7 @@
         found = _match(literal, segments, index + 1, key)
     if found is None and node.key is not None and segment:
         found = _match(node.key, segments, index + 1, segment)
-    if found is None and node.rest is not None and key:
+    if found is None and node.rest is not None:
         found = Match(kind=node.rest, key=key)
     return found
 
--- a/src/acaciasaddle/platform/_http.py
+++ b/src/acaciasaddle/platform/_http.py
@@ -87,8 +87,8 @@
 class HttpPlatform(Table, ObjectStore, HostList):
     """Client of the platform over HTTP.
 
-    Connections are bare HTTP/1.1 connections in a small list of idle ones, since httpcore's pool
-    costs more than the exchange itself. After a timeout the idle connections are closed as well:
+    Bare HTTP/1.1 connections in a list of idle ones, in place of httpcore's pool, let the client
+    tell whether a request may have been sent, and close all idle connections after a timeout:
     open connections may have gone silent while new ones work.
     """
 
