Name the version in force when an apply loses to another change

An apply that came second printed only what the entry host gives as its reason, such as 'expected version 0'. It now says that nothing was applied and which version is in force.

--- a/features/cli/apply.feature
+++ b/features/cli/apply.feature
@@ -19,8 +19,8 @@
       | lost, accepted, complete           | 0    | 2    | Accepted as version 5.                                     |
       | 503-unknown, accepted, complete    | 0    | 2    | Accepted as version 5.                                     |
       | refuse, 503-not-run, accepted, complete | 0 | 2   | Accepted as version 5.                                     |
-      | conflict                           | 3    | 1    | version 9 came first                                       |
-      | lost, conflict                     | 3    | 2    | version 9 came first                                       |
+      | conflict                           | 3    | 1    | nothing was applied, version 9 is in force: another one    |
+      | lost, conflict                     | 3    | 2    | nothing was applied, version 9 is in force: another one    |
       | invalid                            | 2    | 1    | rules: $.ranks: no rank                                    |
       | 400                                | 1    | 1    | answered with status 400                                   |
       | refuse                             | 1    | 0    | the change was not applied: no connection                  |
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -37,7 +37,7 @@
         {"version": 5, "complete": True, "hosts": [*_HOSTS, {**_HOSTS[0], "host": "h2"}]},
     ),
     "partial": (200, {"version": 5, "complete": False, "hosts": [*_HOSTS, _BEHIND]}),
-    "conflict": (409, {"version": 9, "error": "version 9 came first"}),
+    "conflict": (409, {"version": 9, "error": "another one"}),
     "invalid": (422, {"problems": ["rules: $.ranks: no rank; expected at least one"]}),
     "503-unknown": (503, {"outcome": "unknown"}),
     "503-not-run": (503, {"outcome": "not-run"}),
--- a/src/acaciasaddle/operator_api/_client.py
+++ b/src/acaciasaddle/operator_api/_client.py
@@ -174,10 +174,11 @@
         self._raise_if_invalid(answer, step)
         content = _object(answer.body)
         if answer.status == 409:
-            version = content.get("version")
+            value = content.get("version")
+            version = value if isinstance(value, int) else 0
             raise ChangeConflictError(
-                str(content.get("error") or "another change came first"),
-                version=version if isinstance(version, int) else 0,
+                f"nothing was applied, version {version} is in force: {_reason(answer)}",
+                version=version,
                 step=step,
                 peer=answer.host,
             )
