--- a/src/acaciasaddle/peers/_connection.py
+++ b/src/acaciasaddle/peers/_connection.py
@@ -19,6 +19,7 @@
 from acaciasaddle.observe import get_logger
 from acaciasaddle.peers._limits import ACCEPTED_IDLE_S
 from acaciasaddle.peers._limits import ACCEPTED_SILENCE_S
+from acaciasaddle.peers._limits import HEARTBEAT_S
 from acaciasaddle.peers._limits import IDLE_S
 from acaciasaddle.peers._limits import PARTNER_SILENCE_S
 from acaciasaddle.peers._limits import PROBE_AFTER_S
@@ -38,6 +39,7 @@
 from acaciasaddle.wire import OpenWork
 from acaciasaddle.wire import Part
 from acaciasaddle.wire import PartAssembler
+from acaciasaddle.wire import Reply
 from acaciasaddle.wire import ReplyEnvelope
 from acaciasaddle.wire import Rows
 from acaciasaddle.wire import RowsPart
@@ -65,7 +67,6 @@
     from acaciasaddle.wire import FrameStream
     from acaciasaddle.wire import Hello
     from acaciasaddle.wire import Message
-    from acaciasaddle.wire import Reply
 
 log = get_logger("peers")
 
@@ -221,22 +222,29 @@
             ),
         )
 
-    def check_silence(self, now: float) -> None:
-        """Close the connection if it owes an answer and has delivered nothing for too long."""
+    def silent_at(self) -> float:
+        """Return when the connection counts as silent if nothing arrives; infinity if it owes
+        no answer."""
         since = max(self._last_received, self._state.awake_since)
         if not self.dialled:
-            if self._incoming and now - since > ACCEPTED_SILENCE_S:
-                self._silent(now - since)
-            return
+            return since + ACCEPTED_SILENCE_S if self._incoming else math.inf
         owed = [next(iter(self._beats.values()))] if self._beats else []
         if self._calls:
             owed.append(next(iter(self._calls.values())).since)
         if not owed:
+            return math.inf
+        if self.partner:
+            # A partner is sent a heartbeat in each period, so its silence counts from the last
+            # message.
+            return max(since, min(owed) - HEARTBEAT_S) + PARTNER_SILENCE_S
+        return max(since, min(owed)) + SILENCE_S
+
+    def check_silence(self, now: float) -> None:
+        """Close the connection if it owes an answer and has delivered nothing for too long."""
+        if now < self.silent_at():
             return
-        limit = PARTNER_SILENCE_S if self.partner else SILENCE_S
-        silence = now - max(since, min(owed))
-        if silence > limit:
-            self._silent(silence)
+        self._state.metrics.count("peers.silent")
+        self.close(f"nothing was received for {now - self._last_received:.2f} s")
 
     def check_use(self, now: float) -> None:
         """Probe the connection if it is in use and quiet; close it if it is idle."""
@@ -262,10 +270,6 @@
         if now - quiet_since > PROBE_AFTER_S:
             self.heartbeat()
 
-    def _silent(self, silence: float) -> None:
-        self._state.metrics.count("peers.silent")
-        self.close(f"nothing was received for {silence:.2f} s")
-
     # Requests
 
     async def work(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
@@ -499,7 +503,10 @@
         if handler is None:
             return Failed(reason=f"calls of kind {kind} are not served", step="peer.call")
         try:
-            return await handler(self.member, call)
+            reply = await handler(self.member, call)
+            if not isinstance(reply, Reply):
+                raise TypeError(f"the handler returned {reply!r}")
+            return reply
         except AcaciasaddleError as exc:
             log.warning(
                 "call failed", step=exc.step, peer=self.member, kind=kind, reason=exc.message
