--- a/src/acaciasaddle/cli/__init__.py
+++ b/src/acaciasaddle/cli/__init__.py
@@ -1,13 +1,7 @@
-"""Command line."""
+"""Command line interface."""
 
 from __future__ import annotations
 
-import sys
+from acaciasaddle.cli._main import main
 
-
-def main() -> None:
-    """Run an entry host with the settings file given as the second argument."""
-    from acaciasaddle.config import load_settings
-    from acaciasaddle.entry import run_entry_host
-
-    run_entry_host(load_settings(sys.argv[2]))
+__all__ = ["main"]
