Grant units again after a lease has expired

Cause: an upstream whose lease expired for a moment dropped its units, and the holder went on renewing 'unchanged' units, since it never compared the answer; four upstreams refused all requests from then on. Ruled out: a wrong term, since the refusals named the accepted one. Units of a lost upstream were released one owner after the other, and the row that marks it lost raced the rows that move its units. Change: the holder takes over what the answer lists and sends the list again on a difference; releases go out together; the mark is written in the transaction of the moves. The operator API refuses changes of groups, prefixes and the caller header once in use, and plans in a thread.

--- a/src/acaciasaddle/entry/_operator.py
+++ b/src/acaciasaddle/entry/_operator.py
@@ -4,14 +4,18 @@
 
 import json
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
 
+import trio
+
 from acaciasaddle.config import parse_config
 from acaciasaddle.errors import AcaciasaddleError
 from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import ConfigError
+from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import PlatformError
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.errors import WriteOutcomeUnknownError
@@ -64,7 +68,12 @@
             status, value = answer.status, answer.value
         except AcaciasaddleError as exc:
             status = 503
-            value = {"error": exc.message, "step": exc.step, "peer": exc.peer}
+            value = {
+                "error": exc.message,
+                "outcome": Outcome.UNKNOWN.value,
+                "step": exc.step,
+                "peer": exc.peer,
+            }
         data = json.dumps(value).encode()
         headers = [
             (b"content-type", b"application/json"),
@@ -87,7 +96,7 @@
             case "GET", "/explain":
                 return self._explain_key(query)
             case "POST", "/plan":
-                return self._plan(await _read_json(receive))
+                return await self._plan(await _read_json(receive))
             case "POST", "/config":
                 return await self._apply(await _read_json(receive))
         raise Answer(404, {"error": f"no such operation: {scope['method']} {scope['path']}"})
@@ -239,7 +248,7 @@
 
     def _conflicts(self, changed: Configuration) -> list[str]:
         """Return why a valid configuration may not follow the one in force."""
-        problems = []
+        problems: list[str] = []
         for service, group, shards in changed.groups():
             first = self._ctx.mirror.units_row(f"units/{service}/{group}/0")
             if first is not None and first.shards != shards:
@@ -247,6 +256,7 @@
                     f"service {service}, group {group}: shards is {shards}, expected "
                     f"{first.shards}: the number is fixed when the group is created"
                 )
+        problems.extend(self._key_conflicts(changed))
         known = {str(uid) for uid in changed.upstreams}
         owners = self._ctx.mirror.owners
         problems.extend(
@@ -256,19 +266,47 @@
         )
         return problems
 
+    def _key_conflicts(self, changed: Configuration) -> list[str]:
+        """Return changes that would give keys or records another place without a move."""
+        current = self._ctx.mirror.configuration
+        if current is None:
+            return []
+        problems: list[str] = []
+        for service in {svc.name for svc in current.inventory.services}:
+            before = {(g.name, g.key_prefix) for g in current.rules.groups if g.service == service}
+            after = {(g.name, g.key_prefix) for g in changed.rules.groups if g.service == service}
+            problems.extend(
+                f"rules: group {name!r} of service {service!r}: groups and their key prefixes are "
+                "fixed once the service is in use, since their keys would change owners unmoved"
+                for name, _ in sorted(before ^ after)
+            )
+        if current.rules.caller_header != changed.rules.caller_header:
+            problems.append(
+                f"rules: caller_header is {changed.rules.caller_header!r}, expected "
+                f"{current.rules.caller_header!r}: records of work that runs at most once name the "
+                "caller by it"
+            )
+        return problems
+
     def _current_upstreams(self) -> Any:
         cfg = self._ctx.mirror.configuration
         return cfg.upstreams if cfg else ()
 
-    def _plan(self, value: Any) -> Any:
+    async def _plan(self, value: Any) -> Any:
         changed = self._checked(value)
         current = self._ctx.mirror.configuration
-        return make_plan(
-            before_inventory=current.inventory if current else None,
-            before_rules=current.rules if current else None,
-            after_inventory=changed.inventory,
-            after_rules=changed.rules,
-        ).to_json()
+        # A plan for hundreds of upstreams takes about a second, longer than heartbeats may wait.
+        plan = await trio.to_thread.run_sync(
+            partial(
+                make_plan,
+                version=changed.version - 1,
+                before_inventory=current.inventory if current else None,
+                before_rules=current.rules if current else None,
+                after_inventory=changed.inventory,
+                after_rules=changed.rules,
+            )
+        )
+        return plan.to_json()
 
     async def _apply(self, value: Any) -> Any:
         try:
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -313,9 +313,9 @@
             self.granted = frozenset()
             valid_until = None
         if valid_until is not None and state.valid_until == valid_until:
-            in_effect = state.valid_until > state.clock
-            self.granted = wanted if in_effect else frozenset()
-            self._known_to_upstream = in_effect
+            # The lease may have expired before this order, and the units with it.
+            self.granted = frozenset(unit for unit in wanted if str(unit) in state.units)
+            self._known_to_upstream = len(self.granted) == len(state.units) == len(wanted)
             self._in_force_until = self._reading_sent_at + at_least(LEASE_S)
         self._reading = state.clock
         self._reading_sent_at = sent_at
@@ -375,7 +375,9 @@
         row = self._ctx.mirror.upstream_row(self.id)
         if row is None or row.holder != self._ctx.member:
             return
-        health = "ready" if self.reachable else "lost" if self.lost() else row.health
+        health = "ready" if self.reachable else row.health
+        if self.lost() and not self.moves.movable():
+            health = "lost"
         if health != row.health:
             await self._write_row(successor=row.successor, health=health, bump=False)
 
--- a/src/acaciasaddle/ownership/_moves.py
+++ b/src/acaciasaddle/ownership/_moves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -199,11 +200,16 @@
         by_owner: dict[UpstreamId, list[UnitId]] = {}
         for unit, assignment in units.items():
             by_owner.setdefault(assignment.owner_id, []).append(unit)
-        for owner, members in by_owner.items():
+
+        async def send(owner: UpstreamId, members: list[UnitId]) -> None:
             if await self._send_release(owner, members, units):
                 for unit in members:
                     self._released[unit] = units[unit].epoch
 
+        async with trio.open_nursery() as nursery:
+            for owner, members in by_owner.items():
+                nursery.start_soon(send, owner, members)
+
     async def _send_release(
         self, owner: UpstreamId, units: list[UnitId], epochs: Mapping[UnitId, UnitAssignment]
     ) -> bool:
@@ -301,10 +307,10 @@
         self._rebalanced_at = now
         moves = self._ctx.placement.surplus(self._held.id, MOVE_BATCH)
         if moves:
-            movable = self._movable()
+            movable = self.movable()
             await self._move([move for move in moves if move.unit in movable])
 
-    def _movable(self) -> dict[UnitId, UnitAssignment]:
+    def movable(self) -> dict[UnitId, UnitAssignment]:
         """Return units that are this upstream's for certain."""
         return {
             unit: assignment
@@ -315,7 +321,7 @@
 
     async def _move_all(self, reason: str) -> None:
         moves = []
-        for unit in self._movable():
+        for unit in self.movable():
             target = self._ctx.placement.choose(unit, without=(self._held.id,))
             if target is not None:
                 moves.append(Move(unit=unit, target=target, reason=reason))
@@ -355,6 +361,9 @@
             return
         conditions = {held_key: mirror.version(held_key)}
         puts: dict[str, Any] = {}
+        if self._held.lost() and row.health != "lost":
+            # In the same transaction, so that no one moves units here meanwhile.
+            puts[held_key] = replace(row, health="lost").to_json
         by_row: dict[str, dict[UnitId, UnitAssignment]] = {}
         for unit, assignment in changes.items():
             by_row.setdefault(unit.row_key, {})[unit] = assignment
