Move units off busy upstreams by the load that holders observe

Cause: units were placed by number only; with keys drawn by a Zipf law an upstream can be twice as busy as another. Change: the holder of an upstream over 50% busy compares it with three random upstreams of the service and moves the busiest units that fit into half of the gap; a move by load waits until the averages show the last one. Moves by number now happen only for new or nearly empty upstreams, so that the two do not undo each other. Units leave upstreams that a changed rule of their group no longer allows. A single key that is too hot for its upstream still stays there.

--- a/features/steps/wire_codec_steps.py
+++ b/features/steps/wire_codec_steps.py
@@ -53,12 +53,14 @@
         records=RECORDS,
         memory_since_ms=7,
     ),
+    wire.AskLoad(upstreams=(UP, UP)),
     wire.AskRelease(previous=UP, upstream=UP, units=(UNIT,)),
     wire.Handover(upstream=UP, term=9),
     wire.TakenOver(upstreams=(UP, UP), terms=(1, 2)),
 )
 REPLIES = (
     wire.Done(),
+    wire.Loads(busy_permille=(-1, 500)),
     wire.Failed(reason="no", step="peer.call"),
     wire.RowsPart(rows=ROWS, revision=5),
     wire.RowsPart(rows=(), revision=0),
--- a/src/acaciasaddle/ownership/__init__.py
+++ b/src/acaciasaddle/ownership/__init__.py
@@ -8,6 +8,7 @@
 from acaciasaddle.ownership._api import Router
 from acaciasaddle.ownership._assign import FirstAssignment
 from acaciasaddle.ownership._authority import HostAuthority
+from acaciasaddle.ownership._balance import units_to_move
 from acaciasaddle.ownership._context import Context
 from acaciasaddle.ownership._members import Members
 from acaciasaddle.ownership._members import member_id
@@ -28,4 +29,5 @@
     "Route",
     "Router",
     "member_id",
+    "units_to_move",
 ]
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -22,12 +22,14 @@
 from acaciasaddle.ownership._limits import LEASE_S
 from acaciasaddle.ownership._limits import at_most
 from acaciasaddle.ownership._rendezvous import rendezvous_owner
+from acaciasaddle.wire import AskLoad
 from acaciasaddle.wire import AskRelease
 from acaciasaddle.wire import Done
 from acaciasaddle.wire import Failed
 from acaciasaddle.wire import Handover
 from acaciasaddle.wire import KeepRecords
 from acaciasaddle.wire import KeepRows
+from acaciasaddle.wire import Loads
 from acaciasaddle.wire import Release
 from acaciasaddle.wire import RowsSince
 from acaciasaddle.wire import TakenOver
@@ -58,7 +60,7 @@
     def __init__(self, *, ctx: Context, router: MirrorRouter) -> None:
         self._ctx = ctx
         self._router = router
-        self._held: dict[UpstreamId, HeldUpstream] = {}
+        self._held = ctx.held
         self._watched: set[UpstreamId] = set()
         self._memory_since: dict[UpstreamId, float] = {}
         self._handed: dict[UpstreamId, int] = {}
@@ -74,6 +76,7 @@
         hub.on_call(AskRelease, self._on_ask_release)
         hub.on_call(Handover, self._on_handover)
         hub.on_call(TakenOver, self._on_taken_over)
+        hub.on_call(AskLoad, self._on_ask_load)
 
     @property
     def held(self) -> dict[UpstreamId, HeldUpstream]:
@@ -461,6 +464,13 @@
         self._handover = trio.Event()
         return Done()
 
+    async def _on_ask_load(self, member: str, call: Call) -> Reply:
+        assert isinstance(call, AskLoad)
+        loads = [self._ctx.local_load(upstream) for upstream in call.upstreams]
+        return Loads(
+            busy_permille=tuple(-1 if load is None else int(load * 1000) for load in loads)
+        )
+
     async def _on_taken_over(self, member: str, call: Call) -> Reply:
         assert isinstance(call, TakenOver)
         for upstream, term in zip(call.upstreams, call.terms, strict=True):
--- /dev/null
+++ b/src/acaciasaddle/ownership/_balance.py
@@ -0,0 +1,132 @@
+"""Moves units off a busy upstream to a less busy one."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.errors import PeerError
+from acaciasaddle.errors import PlatformError
+from acaciasaddle.observe import get_logger
+from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
+from acaciasaddle.ownership._placement import Move
+from acaciasaddle.wire import AskLoad
+from acaciasaddle.wire import Loads
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from acaciasaddle.model import UnitId
+    from acaciasaddle.model import UpstreamId
+    from acaciasaddle.ownership._context import Context
+    from acaciasaddle.ownership._held import HeldUpstream
+
+CHECK_INTERVAL_S = 1.0
+# Below this part of slot time in use, waiting is short and moving units gains nothing.
+BUSY_FLOOR = 0.5
+# Smaller differences are within the noise of an average over some seconds.
+MIN_GAP = 0.2
+SAMPLE_SIZE = 3
+MAX_UNITS = 4
+
+log = get_logger("placement")
+
+
+def units_to_move(
+    *, unit_busy: Mapping[UnitId, float], slots: int, gap: float, limit: int = MAX_UNITS
+) -> list[UnitId]:
+    """Choose units whose move halves a gap in load, the busiest first.
+
+    ``gap`` is the difference of the parts of slot time in use, ``unit_busy`` the slot time used
+    per second by each unit. A unit that alone would turn the gap around is left where it is.
+    """
+    room = gap / 2 * slots
+    chosen: list[UnitId] = []
+    for unit, busy in sorted(unit_busy.items(), key=lambda item: (-item[1], item[0])):
+        if len(chosen) == limit:
+            break
+        if 0 < busy <= room:
+            chosen.append(unit)
+            room -= busy
+    return chosen
+
+
+class LoadBalance:
+    """Watches the load of one upstream that this host holds.
+
+    Compares it with a few random upstreams of the service instead of all: the better of a few is
+    nearly as good, and the cost does not grow with the fleet. Loads are those that holders
+    observe, since the upstreams' own figures lag or mislead.
+    """
+
+    def __init__(self, *, held: HeldUpstream, ctx: Context) -> None:
+        self._held = held
+        self._ctx = ctx
+
+    async def run(self) -> None:
+        """Move units off the upstream while it is busier than others."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S * random.uniform(0.8, 1.2))
+            if not self._may_move():
+                continue
+            try:
+                await self._check()
+            except PlatformError as exc:
+                log.info("load move waits", upstream=str(self._held.id), error=str(exc))
+
+    def _may_move(self) -> bool:
+        held = self._held
+        return held.moves.settled() and held.row_written and held.reachable and held.in_authority()
+
+    async def _check(self) -> None:
+        load = self._ctx.dispatcher.load(self._held.id)
+        if load.busy < BUSY_FLOOR:
+            return
+        target, busy = await self._least_busy()
+        if target is None or load.busy - busy < MIN_GAP:
+            return
+        allowed = {
+            unit: used
+            for unit, used in load.unit_busy.items()
+            if unit in self._held.moves.movable() and self._allowed(unit, target)
+        }
+        units = units_to_move(
+            unit_busy=allowed, slots=self._held.info.entry.slots, gap=load.busy - busy
+        )
+        reason = f"load {load.busy:.2f} against {busy:.2f}"
+        await self._held.moves.move([Move(unit=u, target=target, reason=reason) for u in units])
+
+    def _allowed(self, unit: UnitId, target: UpstreamId) -> bool:
+        return target in self._ctx.placement.usable(unit.service, unit.group)
+
+    async def _least_busy(self) -> tuple[UpstreamId | None, float]:
+        service = self._held.id.service
+        groups = {unit.group for unit in self._held.granted}
+        usable = {uid for group in groups for uid in self._ctx.placement.usable(service, group)}
+        usable.discard(self._held.id)
+        sample = random.sample(sorted(usable), min(SAMPLE_SIZE, len(usable)))
+        best: UpstreamId | None = None
+        lowest = 1.0
+        for upstream in sample:
+            busy = await self._ask(upstream)
+            if busy is not None and busy < lowest:
+                best, lowest = upstream, busy
+        return best, lowest
+
+    async def _ask(self, upstream: UpstreamId) -> float | None:
+        row = self._ctx.mirror.upstream_row(upstream)
+        if row is None:
+            return None
+        if row.holder == self._ctx.member:
+            return self._ctx.local_load(upstream)
+        try:
+            reply = await self._ctx.hub.call(
+                row.holder, AskLoad(upstreams=(upstream,)), timeout=CALL_TIMEOUT_S
+            )
+        except PeerError:
+            return None
+        if not isinstance(reply, Loads) or reply.busy_permille[0] < 0:
+            return None
+        return reply.busy_permille[0] / 1000
--- a/src/acaciasaddle/ownership/_context.py
+++ b/src/acaciasaddle/ownership/_context.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -23,6 +24,8 @@
 if TYPE_CHECKING:
     from acaciasaddle.config import Rules
     from acaciasaddle.model import Row
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.ownership._held import HeldUpstream
 
 Puts = Mapping[str, Callable[[str], dict[str, Any]]]
 
@@ -40,6 +43,7 @@
     placement: Placement
     metrics: Metrics
     backend: httpcore.AsyncNetworkBackend
+    held: dict[UpstreamId, HeldUpstream] = field(default_factory=dict)
 
     @property
     def member(self) -> str:
@@ -52,6 +56,13 @@
         cfg = self.mirror.configuration
         return cfg.rules if cfg else None
 
+    def local_load(self, upstream: UpstreamId) -> float | None:
+        """Return the load of an upstream that this host holds, ``None`` if it has not settled."""
+        held = self.held.get(upstream)
+        if held is None or not held.reachable or not held.moves.settled():
+            return None
+        return self.dispatcher.load(upstream).busy
+
     async def write(self, *, conditions: Mapping[str, int], puts: Puts) -> tuple[Row, ...]:
         """Write rows conditionally, take them into the mirror and push them to peers.
 
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -15,6 +15,7 @@
 from acaciasaddle.model import UpstreamRow
 from acaciasaddle.observe import get_logger
 from acaciasaddle.ownership._api import Permit
+from acaciasaddle.ownership._balance import LoadBalance
 from acaciasaddle.ownership._control import UpstreamControl
 from acaciasaddle.ownership._limits import AUTHORITY_S
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
@@ -101,6 +102,7 @@
             address=info.entry.address, backend=ctx.backend, timeout=ORDER_TIMEOUT_S
         )
         self.moves = UnitMoves(held=self, ctx=ctx)
+        self._balance = LoadBalance(held=self, ctx=ctx)
 
     @property
     def successor(self) -> str:
@@ -175,6 +177,7 @@
             nursery.start_soon(self._renew)
             nursery.start_soon(self._keep_row)
             nursery.start_soon(self.moves.run)
+            nursery.start_soon(self._balance.run)
             await self.ended.wait()
             nursery.cancel_scope.cancel()
         await self._control.close()
--- a/src/acaciasaddle/ownership/_limits.py
+++ b/src/acaciasaddle/ownership/_limits.py
@@ -17,6 +17,8 @@
 MOVE_BATCH = 16
 REBALANCE_INTERVAL_S = 0.3
 DRAIN_LIMIT_S = 2.0
+# The averages of load need this time to show the effect of a move; moving earlier overshoots.
+SETTLE_S = 10.0
 
 
 def at_most(duration: float) -> float:
--- a/src/acaciasaddle/ownership/_moves.py
+++ b/src/acaciasaddle/ownership/_moves.py
@@ -21,12 +21,14 @@
 from acaciasaddle.ownership._limits import DRAIN_LIMIT_S
 from acaciasaddle.ownership._limits import MOVE_BATCH
 from acaciasaddle.ownership._limits import REBALANCE_INTERVAL_S
+from acaciasaddle.ownership._limits import SETTLE_S
 from acaciasaddle.ownership._placement import Move
 from acaciasaddle.wire import AskRelease
 from acaciasaddle.wire import Done
 from acaciasaddle.wire import Release
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -57,6 +59,11 @@
         self._leaving: set[UnitId] = set()
         self._asked_at: dict[UnitId, float] = {}
         self._rebalanced_at = float("-inf")
+        self.last_change_at = ctx.clock.now()
+
+    def settled(self) -> bool:
+        """Whether the observed load shows the effect of the last move of units."""
+        return self._ctx.clock.now() - self.last_change_at > SETTLE_S
 
     def is_leaving(self, unit: UnitId) -> bool:
         """Whether the unit is being released."""
@@ -90,6 +97,7 @@
     def confirm(self, units: Sequence[UnitId], epochs: Sequence[int]) -> None:
         """Take note that the previous owners have released these units."""
         self._confirmed.update(zip(units, epochs, strict=True))
+        self.last_change_at = self._ctx.clock.now()
         self._held.wake()
 
     def release_again(self, units: Iterable[UnitId]) -> None:
@@ -301,6 +309,10 @@
         if info is None or info.entry.state == "leaving" or self._held.state == "leaving":
             await self._move_all("upstream leaving")
             return
+        banned = {u for u in self.movable() if not cfg.allowed(info, u.group)} if cfg else set()
+        if banned:
+            await self._move_all("rule of the group", only=banned)
+            return
         now = self._ctx.clock.now()
         if now - self._rebalanced_at < REBALANCE_INTERVAL_S:
             return
@@ -308,7 +320,7 @@
         moves = self._ctx.placement.surplus(self._held.id, MOVE_BATCH)
         if moves:
             movable = self.movable()
-            await self._move([move for move in moves if move.unit in movable])
+            await self.move([move for move in moves if move.unit in movable])
 
     def movable(self) -> dict[UnitId, UnitAssignment]:
         """Return units that are this upstream's for certain."""
@@ -319,17 +331,19 @@
             and (not assignment.previous or self._is_confirmed(unit, assignment))
         }
 
-    async def _move_all(self, reason: str) -> None:
+    async def _move_all(self, reason: str, *, only: Collection[UnitId] | None = None) -> None:
         moves = []
-        for unit in self.movable():
+        for unit in self.movable() if only is None else only:
             target = self._ctx.placement.choose(unit, without=(self._held.id,))
             if target is not None:
                 moves.append(Move(unit=unit, target=target, reason=reason))
-        await self._move(moves)
+        await self.move(moves)
 
-    async def _move(self, moves: Sequence[Move]) -> None:
+    async def move(self, moves: Sequence[Move]) -> None:
+        """Decide moves of this upstream's units. Raises ``PlatformError``."""
         if not moves:
             return
+        self.last_change_at = self._ctx.clock.now()
         own = self._own()
         changes = {
             move.unit: UnitAssignment(
--- a/src/acaciasaddle/ownership/_placement.py
+++ b/src/acaciasaddle/ownership/_placement.py
@@ -20,10 +20,11 @@
     from acaciasaddle.mirror import Mirror
     from acaciasaddle.mirror import UpstreamInfo
 
-# An upstream gives units away only above this part of its fair share, so that counts
-# that differ by a few units cause no moves.
-OVERFULL = 1.1
-UNDERFULL = 0.9
+# An upstream gives units away by their number only above this part of its fair share, so that
+# moves made for load are not undone.
+OVERFULL = 1.3
+# A new upstream is filled to this part of its fair share; load decides about the rest.
+UNDERFULL = 0.6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,6 +43,10 @@
     def choose(self, unit: UnitId, *, without: Collection[UpstreamId]) -> UpstreamId | None:
         """Return the best owner of a unit, or ``None`` if no upstream may own it."""
 
+    @abstractmethod
+    def usable(self, service: str, group: str) -> list[UpstreamId]:
+        """Return the upstreams that may be given units of a group now."""
+
     @abstractmethod
     def surplus(self, upstream: UpstreamId, limit: int) -> list[Move]:
         """Return at most ``limit`` moves that bring an upstream down to its fair share."""
@@ -66,6 +71,10 @@
             return None
         return UpstreamId.parse(rendezvous_owner(str(unit), candidates))
 
+    def usable(self, service: str, group: str) -> list[UpstreamId]:
+        cfg = self._mirror.configuration
+        return [info.id for info in self._usable(cfg, service, group)] if cfg else []
+
     def surplus(self, upstream: UpstreamId, limit: int) -> list[Move]:
         cfg = self._mirror.configuration
         if cfg is None:
--- a/src/acaciasaddle/wire/__init__.py
+++ b/src/acaciasaddle/wire/__init__.py
@@ -10,6 +10,7 @@
 from acaciasaddle.wire._frames import FrameStream
 from acaciasaddle.wire._frames import PartAssembler
 from acaciasaddle.wire._frames import split
+from acaciasaddle.wire._messages import AskLoad
 from acaciasaddle.wire._messages import AskRelease
 from acaciasaddle.wire._messages import Call
 from acaciasaddle.wire._messages import CallEnvelope
@@ -22,6 +23,7 @@
 from acaciasaddle.wire._messages import KeepRecords
 from acaciasaddle.wire._messages import KeepRows
 from acaciasaddle.wire._messages import Leaving
+from acaciasaddle.wire._messages import Loads
 from acaciasaddle.wire._messages import Message
 from acaciasaddle.wire._messages import OpenWork
 from acaciasaddle.wire._messages import Part
@@ -43,6 +45,7 @@
     "MAX_FRAME_BYTES",
     "MAX_MESSAGE_BYTES",
     "PART_BYTES",
+    "AskLoad",
     "AskRelease",
     "Call",
     "CallEnvelope",
@@ -56,6 +59,7 @@
     "KeepRecords",
     "KeepRows",
     "Leaving",
+    "Loads",
     "Message",
     "OpenWork",
     "Part",
--- a/src/acaciasaddle/wire/_codec.py
+++ b/src/acaciasaddle/wire/_codec.py
@@ -211,6 +211,7 @@
         _shape(messages.AskRelease),
         _shape(messages.Handover),
         _shape(messages.TakenOver),
+        _shape(messages.AskLoad),
     )
 }
 
@@ -220,6 +221,7 @@
         _shape(messages.Done),
         _shape(messages.Failed),
         _shape(messages.RowsPart, plain=True),
+        _shape(messages.Loads),
     )
 }
 
--- a/src/acaciasaddle/wire/_messages.py
+++ b/src/acaciasaddle/wire/_messages.py
@@ -222,6 +222,23 @@
     terms: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AskLoad(Call):
+    """Asks a holder for the load of upstreams; answered with ``Loads``."""
+
+    upstreams: tuple[UpstreamId, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Loads(Reply):
+    """Slot time in use of the upstreams asked for, in thousandths.
+
+    -1 if the upstream is not held here or its load has not settled after a move.
+    """
+
+    busy_permille: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallEnvelope(Message):
     """Carries a call on a connection."""
--- a/src/acaciasaddle/wire/peer.capnp
+++ b/src/acaciasaddle/wire/peer.capnp
@@ -152,6 +152,9 @@
       upstreams @18 :List(Text);
       terms @19 :List(Int64);
     }
+    askLoad :group {
+      upstreams @20 :List(Text);
+    }
   }
 }
 
@@ -166,5 +169,8 @@
       rows @3 :List(Row);
       revision @4 :Int64;
     }
+    loads :group {
+      busyPermille @5 :List(Int64);
+    }
   }
 }
