--- /dev/null
+++ b/src/acaciasaddle/cli/_run.py
@@ -0,0 +1,29 @@
+"""``acaciasaddle run``."""
+
+from __future__ import annotations
+
+import click
+
+from acaciasaddle.cli._common import ExitCode
+from acaciasaddle.cli._common import json_option
+from acaciasaddle.config import load_settings
+
+
+@click.command(epilog="Example: acaciasaddle run /etc/acaciasaddle/host.json")
+@click.argument("settings_path", metavar="SETTINGS", type=click.Path())
+@json_option
+@click.pass_context
+def run(ctx: click.Context, settings_path: str, as_json: bool) -> None:
+    """Run an entry host with the SETTINGS file until it gets SIGTERM or SIGINT.
+
+    --json concerns errors at start; the format of the log is in the settings.
+    """
+    settings = load_settings(settings_path)
+    # Imported here, since the other subcommands do not need the server's libraries.
+    from acaciasaddle.entry import run_entry_host
+
+    try:
+        run_entry_host(settings)
+    except OSError as exc:
+        click.echo(f"Error: {exc}", err=True)
+        ctx.exit(ExitCode.FAILED)
