--- /dev/null
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -0,0 +1,307 @@
+"""The dispatcher of an entry host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+import trio
+
+from acaciasaddle.dispatch._api import Dispatcher
+from acaciasaddle.dispatch._api import UpstreamLoad
+from acaciasaddle.dispatch._job import Job
+from acaciasaddle.dispatch._once import DEFAULT_MEMORY_LIMIT
+from acaciasaddle.dispatch._once import OnceRecords
+from acaciasaddle.dispatch._progress import Progress
+from acaciasaddle.dispatch._runner import STEP
+from acaciasaddle.dispatch._runner import JobRunner
+from acaciasaddle.dispatch._runner import refused
+from acaciasaddle.dispatch._streams import STALL_LIMIT_S
+from acaciasaddle.dispatch._streams import Answer
+from acaciasaddle.dispatch._streams import Upload
+from acaciasaddle.dispatch._target import Target
+from acaciasaddle.errors import AcaciasaddleError
+from acaciasaddle.errors import NotOwnerError
+from acaciasaddle.errors import Outcome
+from acaciasaddle.model import OnceState
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.config import Rules
+    from acaciasaddle.dispatch._once import OnceEntry
+    from acaciasaddle.model import BodySource
+    from acaciasaddle.model import OnceRecord
+    from acaciasaddle.model import ReplySink
+    from acaciasaddle.model import UnitId
+    from acaciasaddle.model import UpstreamId
+    from acaciasaddle.model import WorkRequest
+    from acaciasaddle.observe import Metrics
+    from acaciasaddle.ownership import Authority
+
+SHORT_UPLOAD_STALL_S = 5.0
+"""Stall limit for bodies that are not bulky: a stalled body occupies a slot."""
+
+SWEEP_INTERVAL_S = 5.0
+
+REPLAYED = ("Acaciasaddle-Replayed", "true")
+
+
+class LocalDispatcher(Dispatcher):
+    """Dispatches to the upstreams that this host holds.
+
+    ``rules`` returns the rules in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        authority: Authority,
+        clock: Clock,
+        metrics: Metrics,
+        rules: Callable[[], Rules],
+        backend: httpcore.AsyncNetworkBackend | None = None,
+        once_memory_limit: int = DEFAULT_MEMORY_LIMIT,
+    ) -> None:
+        self._authority = authority
+        self._clock = clock
+        self._metrics = metrics
+        self._rules = rules
+        self._backend = backend or httpcore.TrioBackend()
+        self._once = OnceRecords(
+            clock=clock,
+            rules=rules,
+            memory_since=authority.memory_since,
+            memory_limit=once_memory_limit,
+        )
+        self._targets: dict[UpstreamId, Target] = {}
+        self._held: set[UnitId] = set()
+        self._progress = Progress()
+        self._running: JobRunner | None = None
+        self._log = get_logger("dispatch")
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as nursery:
+            self._running = JobRunner(
+                authority=self._authority,
+                clock=self._clock,
+                metrics=self._metrics,
+                rules=self._rules,
+                progress=self._progress,
+                held=self._held,
+                nursery=nursery,
+            )
+            task_status.started()
+            try:
+                while True:
+                    await trio.sleep(SWEEP_INTERVAL_S)
+                    for target in list(self._targets.values()):
+                        await target.connections.close_idle()
+            finally:
+                for target in self._targets.values():
+                    await target.connections.close_all()
+
+    async def stop(self) -> None:
+        await self.drain()
+
+    async def serve(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
+        if req.unit not in self._held:
+            self._authority.permit(req.upstream, req.unit)
+        job = self._job(req, body, reply)
+        if not req.once:
+            with job.scope:
+                await self._runner.run(job)
+            if job.scope.cancelled_caught:
+                raise self._runner.interrupted(job)
+            return
+        if not await self._claim(job, reply):
+            return
+        # Runs in a task of its own, since its result is kept even if the caller goes away.
+        self._runner.nursery.start_soon(self._run_once, job)
+        try:
+            await job.ended.wait()
+        except trio.Cancelled:
+            job.abandon()
+            raise
+        if job.error is not None:
+            raise job.error
+
+    def hold(self, unit: UnitId) -> None:
+        self._held.add(unit)
+        for target in self._targets.values():
+            target.queue.hold(unit)
+
+    async def drained(self, unit: UnitId) -> None:
+        await self._progress.drained(unit)
+
+    def bulky_running(self, unit: UnitId) -> int:
+        return self._progress.bulky(unit)
+
+    def resume(self, unit: UnitId) -> None:
+        self._held.discard(unit)
+        for upstream, target in self._targets.items():
+            if not target.queue.holds(unit):
+                continue
+            try:
+                permit = self._authority.permit(upstream, unit)
+            except NotOwnerError:
+                target.queue.reject(unit)
+                continue
+            target.queue.resume(unit)
+            self._runner.configure(target, permit)
+
+    def reject(self, unit: UnitId) -> None:
+        self._held.discard(unit)
+        for target in self._targets.values():
+            target.queue.reject(unit)
+
+    def upstream_lost(self, upstream: UpstreamId) -> None:
+        for job in self._progress.with_slot(upstream):
+            job.lose()
+        target = self._targets.get(upstream)
+        if target is not None:
+            self._runner.nursery.start_soon(target.connections.close_all)
+
+    def export_records(
+        self, upstream: UpstreamId, units: Iterable[UnitId] | None
+    ) -> tuple[OnceRecord, ...]:
+        return self._once.export(upstream=upstream, units=units)
+
+    def import_records(self, upstream: UpstreamId, records: Iterable[OnceRecord]) -> None:
+        self._once.take(upstream=upstream, records=records)
+
+    def memory_since(self, upstream: UpstreamId) -> float:
+        """Return the time of day, in seconds, before which records may be missing.
+
+        Later than what the authority says if records were evicted for lack of memory. Goes
+        with exported records.
+        """
+        return self._once.memory_since(upstream)
+
+    def load(self, upstream: UpstreamId) -> UpstreamLoad:
+        target = self._targets.get(upstream)
+        if target is None:
+            return UpstreamLoad(busy=0.0, queued=0, unit_busy={})
+        return target.queue.load()
+
+    async def drain(self) -> None:
+        await self._progress.idle()
+
+    @property
+    def _runner(self) -> JobRunner:
+        if self._running is None:
+            raise AcaciasaddleError("the dispatcher does not run", step=STEP)
+        return self._running
+
+    def _job(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> Job:
+        rules = self._rules()
+        kind = next(
+            (k for k in rules.kinds if k.name == req.kind and k.service == req.service), None
+        )
+        ranks = [rank.name for rank in rules.ranks]
+        return Job(
+            req=req,
+            target=self._target(req.upstream),
+            upload=Upload(
+                source=body,
+                length=req.body_length,
+                stall_limit=STALL_LIMIT_S if req.bulky else SHORT_UPLOAD_STALL_S,
+            ),
+            answer=Answer(sink=reply, keep=req.once),
+            deadline=self._clock.now() + req.budget_ms / 1000,
+            may_repeat=not req.once and kind is not None and kind.idempotent,
+            rank=ranks.index(req.rank) if req.rank in ranks else max(0, len(ranks) - 1),
+        )
+
+    def _target(self, upstream: UpstreamId) -> Target:
+        target = self._targets.get(upstream)
+        if target is None:
+            target = Target(
+                upstream=upstream,
+                clock=self._clock,
+                metrics=self._metrics,
+                rules=self._rules(),
+                authority=self._authority,
+                backend=self._backend,
+            )
+            self._targets[upstream] = target
+            self._runner.nursery.start_soon(target.replicator.run)
+        return target
+
+    async def _claim(self, job: Job, reply: ReplySink) -> bool:
+        """Claim the record of a request; returns whether it is to run.
+
+        A repeat waits for the first run and is answered from its record.
+        """
+        req = job.req
+        while True:
+            entry, is_new = self._once.claim(
+                upstream=req.upstream, unit=req.unit, caller=req.caller, key=req.idempotency_key
+            )
+            if is_new:
+                job.entry = entry
+                return True
+            if entry.running:
+                with trio.move_on_after(max(0.0, job.deadline - self._clock.now())):
+                    await entry.ended.wait()
+                if entry.running:
+                    raise refused(req, "the first run is in progress", Outcome.UNKNOWN, 409)
+                continue
+            await self._replay(req, entry, reply)
+            return False
+
+    async def _replay(self, req: WorkRequest, entry: OnceEntry, reply: ReplySink) -> None:
+        if entry.state is not OnceState.COMPLETED:
+            raise refused(req, "an earlier run may have happened", Outcome.UNKNOWN, 504)
+        if entry.body is None:
+            raise refused(
+                req,
+                f"an earlier run completed with status {entry.status}; its answer was too large "
+                "to keep",
+                Outcome.COMPLETED,
+                409,
+            )
+        self._log.info(
+            "Answered from record.", request=req.request_id, unit=str(req.unit), status=entry.status
+        )
+        self._metrics.count("dispatch.replayed")
+        await reply.head(entry.status, (*entry.headers, REPLAYED))
+        if entry.body:
+            await reply.data(entry.body)
+        await reply.end()
+
+    async def _run_once(self, job: Job) -> None:
+        entry = job.entry
+        assert entry is not None
+        try:
+            with job.scope:
+                await self._runner.run(job)
+            if job.scope.cancelled_caught:
+                raise self._runner.interrupted(job)
+        except Exception as exc:
+            job.error = exc
+        finally:
+            self._settle(job, entry)
+            if job.error is None and not job.answer.complete:
+                job.error = self._runner.interrupted(job)
+            job.ended.set()
+
+    def _settle(self, job: Job, entry: OnceEntry) -> None:
+        """Bring the record of a finished run up to date, here and at the successor."""
+        answer = job.answer
+        now = self._clock.now()
+        if answer.complete:
+            self._once.complete(
+                entry, status=answer.status, headers=answer.headers, body=answer.body
+            )
+            job.target.replicator.put(entry.record(now), urgent=False)
+            return
+        if job.sent:
+            self._once.lose(entry)
+            return
+        self._once.forget(entry)
+        if entry.copied:
+            job.target.replicator.put(entry.not_run_record(now), urgent=False)
--- /dev/null
+++ b/src/acaciasaddle/plan/__init__.py
@@ -0,0 +1,11 @@
+"""What a change of the configuration would do."""
+
+from __future__ import annotations
+
+from acaciasaddle.plan._plan import Change
+from acaciasaddle.plan._plan import FieldChange
+from acaciasaddle.plan._plan import GroupMoves
+from acaciasaddle.plan._plan import Plan
+from acaciasaddle.plan._plan import make_plan
+
+__all__ = ["Change", "FieldChange", "GroupMoves", "Plan", "make_plan"]
