--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -15,6 +15,7 @@
       | lookup | reset           | 200 complete           | 2     |
       | lookup | head then reset | 200 cut, 504 unknown   | 1     |
       | lookup | cut             | 200 cut, 504 unknown   | 1     |
+      | lookup | stall           | 200 cut, 504 unknown   | 1     |
       | lookup | refuse term     | not owner              | 1     |
       | lookup | shed            | 503 not-run            | 1     |
       | lookup | late            | 504 not-run            | 1     |
@@ -72,6 +73,16 @@
       | deposit | after it was sent    | 1     | 0       |
       | deposit | during the answer    | 1     | 0       |
 
+  Scenario: dispatch cuts an answer that its caller does not take for 30 s
+    When a dispatch request is served whose caller takes no answer
+    Then the dispatch result is "200 cut, 504 unknown" after 1 sends
+    And the dispatch slots are all free
+
+  Scenario: dispatch logs its decision with request, unit, upstream and reason
+    Given a dispatch upstream that will do "reset"
+    When a dispatch request of kind "lookup" is served
+    Then the dispatch log says "Sending request., Retrying request., Sending request."
+
   Scenario: dispatch of work that runs once avoids connections that were quiet for a second
     When a dispatch request of kind "lookup" is served
     And 1.5 s pass for dispatch
--- a/features/steps/dispatch_failures_steps.py
+++ b/features/steps/dispatch_failures_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -12,10 +13,13 @@
 from dispatch_support import UPSTREAM
 from dispatch_support import Body
 from dispatch_support import run
+from structlog.testing import capture_logs
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from dispatch_support import Reply
     from dispatch_support import World
@@ -31,6 +35,7 @@
         self.replies: list[Reply] = []
         self.world: World | None = None
         self.exported: tuple[OnceRecord, ...] = ()
+        self.logs: Sequence[Mapping[str, Any]] = []
         self.options: dict[str, Any] = {}
         context.dispatch = self
 
@@ -46,7 +51,8 @@
     def played(self) -> World:
         """Run the acts if they have not run yet, and return the world afterwards."""
         if self.world is None:
-            run(self._play, **self.options)
+            with capture_logs() as self.logs:
+                run(self._play, **self.options)
         assert self.world is not None
         return self.world
 
@@ -197,6 +203,30 @@
 
         plan.add(act)
 
+    @staticmethod
+    @when("a dispatch request is served whose caller takes no answer")
+    def takes_none(context: Any) -> None:
+        plan = DispatchPlan.of(context)
+
+        async def act(world: World) -> None:
+            plan.replies.append(world.start(world.request("lookup"), takes=False))
+            await plan.replies[0].done.wait()
+
+        plan.add(act)
+
+    @staticmethod
+    @then('the dispatch log says "{events}"')
+    def log(context: Any, events: str) -> None:
+        plan = DispatchPlan.of(context)
+        plan.options["log_level"] = logging.INFO
+        plan.played()
+        lines = [line for line in plan.logs if line.get("request") == "r2"]
+        assert ", ".join(line["event"] for line in lines).startswith(events), lines
+        for line in lines[:3]:
+            assert line["unit"] == "bookings/default/3", line
+            assert line["upstream"] == "bookings/u1", line
+            assert line["reason"], line
+
     @staticmethod
     @when("a dispatch request is served with headers of its own")
     def own_headers(context: Any) -> None:
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -108,8 +108,9 @@
 class ScriptedUpstream(httpcore.AsyncNetworkBackend):
     """Answers requests over memory streams as told by ``script``, one entry per work request.
 
-    Entries: ``answer``, ``silent``, ``reset``, ``head then reset``, ``cut``, ``refuse term``,
-    ``shed``, ``late`` and ``large``. After the last entry all requests are answered.
+    Entries: ``answer``, ``silent``, ``reset``, ``head then reset``, ``cut``, ``stall``,
+    ``refuse term``, ``shed``, ``late`` and ``large``. After the last entry all requests are
+    answered.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -199,12 +200,12 @@
         if action == "large":
             await self._answer(conn, stream, 200, [b"x" * 50_000, b"y" * 50_000])
             return True
-        if action in ("cut", "head then reset"):
+        if action in ("cut", "stall", "head then reset"):
             head = h11.Response(status_code=200, headers=[("Content-Length", "100")])
             await stream.send_all(conn.send(head))
-            if action == "cut":
+            if action != "head then reset":
                 await stream.send_all(conn.send(h11.Data(b"half")))
-            await trio.sleep(0.01)
+            await trio.sleep(100 if action == "stall" else 0.01)
             return False
         await self._answer(conn, stream, 200, [b"answer ", b"%d" % len(self.seen)])
         return True
@@ -296,6 +297,7 @@
         self.headers: Headers = ()
         self.body = b""
         self.ended = False
+        self.takes = True
         self.error: Exception | None = None
         self.seconds = 0.0
         self.done = trio.Event()
@@ -307,6 +309,8 @@
         self.head_seen.set()
 
     async def data(self, chunk: bytes) -> None:
+        if not self.takes:
+            await trio.sleep_forever()
         self.body += chunk
 
     async def end(self) -> None:
@@ -383,9 +387,12 @@
         }
         return WorkRequest(**{**fields, **changes})
 
-    def start(self, req: WorkRequest, body: BodySource | None = None) -> Reply:
-        """Begin to serve a request."""
+    def start(
+        self, req: WorkRequest, body: BodySource | None = None, *, takes: bool = True
+    ) -> Reply:
+        """Begin to serve a request whose caller takes the answer or does not."""
         reply = Reply()
+        reply.takes = takes
         self.requests.append(req)
         self.nursery.start_soon(self._serve, req, body or Body(), reply)
         return reply
@@ -413,6 +420,7 @@
     *,
     rules: Rules = RULES,
     once_memory: int = 32 * 1024 * 1024,
+    log_level: int = logging.WARNING,
 ) -> None:
     """Run ``main`` with a dispatcher on a virtual clock."""
 
@@ -424,5 +432,5 @@
             nursery.cancel_scope.cancel()
 
     # Ten thousand lines of log would take most of the time.
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(log_level))
     trio.run(outer, clock=MockClock(autojump_threshold=0))
--- a/src/acaciasaddle/dispatch/_once.py
+++ b/src/acaciasaddle/dispatch/_once.py
@@ -40,6 +40,9 @@
 
 STEP = "dispatch.once"
 
+ENDED = trio.Event()
+ENDED.set()
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class OnceEntry:
@@ -265,6 +268,8 @@
     def _end(self, entry: OnceEntry) -> None:
         entry.running = False
         entry.ended.set()
+        # An event of its own would take a third of the memory of a record.
+        entry.ended = ENDED
 
     def _expire(self) -> None:
         # A key may be minted up to the skew ahead of the first use, and clocks differ by it.
--- a/src/acaciasaddle/dispatch/_policies.py
+++ b/src/acaciasaddle/dispatch/_policies.py
@@ -16,9 +16,6 @@
 
 Sequence = tuple[float, int]
 
-SHARE_BURST_S = 0.25
-"""Slot time in seconds that a rank may save up, or use in advance, against its share."""
-
 MIN_SHARE = 0.01
 """Smallest share of a rank, so that no rank starves."""
 
@@ -197,15 +194,17 @@
     Each rank has a credit of slot time that grows by its share of the slots. Among the ranks
     with credit left the most urgent one is next, so that urgent work does not wait for others
     as long as it keeps to its share. If no waiting rank has credit, the slot is lent to the
-    rank that is least overdrawn in relation to its share.
+    rank that is least overdrawn in relation to its share. Credit is at most
+    ``credit`` and debt at most ``debt`` seconds.
     """
 
-    def __init__(self, *, shares: tuple[float, ...], burst: float = SHARE_BURST_S) -> None:
+    def __init__(self, *, shares: tuple[float, ...], credit: float, debt: float) -> None:
         super().__init__(ranks=len(shares))
         total = sum(max(share, MIN_SHARE) for share in shares)
         self._shares = tuple(max(share, MIN_SHARE) / total for share in shares)
-        self._burst = burst
-        self._credit = [burst] * len(shares)
+        self._max_credit = credit
+        self._max_debt = debt
+        self._credit = [credit] * len(shares)
         self._at = 0.0
 
     def sort_key(self, item: Waiting) -> Sequence:
@@ -215,7 +214,8 @@
         seconds = max(0.0, now - self._at) if self._at else 0.0
         self._at = now
         for rank, share in enumerate(self._shares):
-            self._credit[rank] = min(self._burst, self._credit[rank] + seconds * slots * share)
+            earned = self._credit[rank] + seconds * slots * share
+            self._credit[rank] = min(self._max_credit, earned)
 
     def choose(self, lanes: list[tuple[int, Lane]]) -> Waiting:
         ranks = {rank for rank, _ in lanes}
@@ -249,11 +249,11 @@
 
     def _charge(self, rank: int, seconds: float) -> None:
         # The debt is bounded too: a rank that used idle slots is not punished for long.
-        self._credit[rank] = max(-self._burst, self._credit[rank] - seconds)
+        self._credit[rank] = max(-self._max_debt, self._credit[rank] - seconds)
 
 
-def make_policy(rules: Rules) -> AdmissionPolicy:
-    """Return a new policy as named by ``rules.admission``."""
+def make_policy(rules: Rules, *, credit: float, debt: float) -> AdmissionPolicy:
+    """Return a new policy as named by ``rules.admission``; the rest is for shares."""
     ranks = max(1, len(rules.ranks))
     match rules.admission:
         case "fifo":
@@ -264,4 +264,4 @@
             return DeadlineOrder(ranks=ranks)
         case "shares":
             shares = tuple(rank.share for rank in rules.ranks) or (1.0,)
-            return WeightedShares(shares=shares)
+            return WeightedShares(shares=shares, credit=credit, debt=debt)
--- a/src/acaciasaddle/dispatch/_queue.py
+++ b/src/acaciasaddle/dispatch/_queue.py
@@ -4,6 +4,7 @@
 
 import itertools
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,44 +21,64 @@
 if TYPE_CHECKING:
     from acaciasaddle.clock import Clock
     from acaciasaddle.config import Rules
+    from acaciasaddle.dispatch._policies import AdmissionPolicy
     from acaciasaddle.dispatch._waiting import Waiting
     from acaciasaddle.model import UnitId
     from acaciasaddle.model import UpstreamId
     from acaciasaddle.observe import Metrics
 
-MAX_QUEUED = 512
-"""Waiting requests per upstream; with early refusal a 2-slot queue stays far below."""
-
-BULKY_FRACTION = 0.5
-"""Part of the slots that bulky requests may use, rounded up, but never all of two or more."""
-
 MIN_RETRY_AFTER_S = 1.0
 """Smallest Retry-After: the header counts whole seconds."""
 
-HOPELESS_FACTOR = 1.0
-"""A request is not started with less time left than this many expected service times."""
-
 STEP = "dispatch.queue"
 
 
-def bulky_slots(slots: int) -> int:
-    """Return how many of the slots bulky requests may use at the same time."""
-    if slots <= 1:
-        return slots
-    return min(slots - 1, math.ceil(slots * BULKY_FRACTION))
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionLimits:
+    """Constants of admission; docs/decisions/admission.md has the figures behind them.
+
+    ``max_queued`` bounds the waiting requests of an upstream; 6 slots with 50 ms of service
+    time answer 360 requests within a target of 3 s. ``bulky_fraction`` is the part of the slots
+    that bulky requests may use, rounded up, but never all of two or more. A request is not
+    started with less time left than ``hopeless_factor`` expected service times.
+    ``share_credit_s`` is the slot time that a rank may save up, and ``share_debt_s`` what it
+    may use in advance, against its share.
+    """
+
+    max_queued: int = 512
+    bulky_fraction: float = 0.5
+    hopeless_factor: float = 1.0
+    share_credit_s: float = 0.25
+    share_debt_s: float = 1.0
+
+    def bulky_slots(self, slots: int) -> int:
+        """Return how many of the slots bulky requests may use at the same time."""
+        if slots <= 1:
+            return slots
+        return min(slots - 1, math.ceil(slots * self.bulky_fraction))
+
+
+DEFAULT_LIMITS = AdmissionLimits()
 
 
 class UpstreamQueue:
     """Orders waiting requests and hands out the slots of an upstream."""
 
     def __init__(
-        self, *, upstream: UpstreamId, clock: Clock, metrics: Metrics, rules: Rules
+        self,
+        *,
+        upstream: UpstreamId,
+        clock: Clock,
+        metrics: Metrics,
+        rules: Rules,
+        limits: AdmissionLimits = DEFAULT_LIMITS,
     ) -> None:
         self._upstream = upstream
         self._clock = clock
         self._metrics = metrics
         self._rules = rules
-        self._policy = make_policy(rules)
+        self._limits = limits
+        self._policy = self._make_policy(rules)
         self._slots = 0
         self._seq = itertools.count()
         self._held: dict[UnitId, dict[Waiting, None]] = {}
@@ -84,7 +105,7 @@
         if rules is not self._rules:
             if (rules.ranks, rules.admission) != (self._rules.ranks, self._rules.admission):
                 waiting = sorted(self._policy, key=lambda item: item.seq)
-                self._policy = make_policy(rules)
+                self._policy = self._make_policy(rules)
                 for item in (
                     *waiting,
                     *self._running,
@@ -115,12 +136,13 @@
             self._bound(item)
             self._policy.add(item)
             self._start_next()
-        try:
-            with trio.move_on_after(max(0.0, item.deadline - self._clock.now())):
-                await item.decided.wait()
-        except trio.Cancelled:
-            self._abandon(item)
-            raise
+        if item.state is not WaitState.GRANTED:
+            try:
+                with trio.move_on_after(max(0.0, item.deadline - self._clock.now())):
+                    await item.decided.wait()
+            except trio.Cancelled:
+                self._abandon(item)
+                raise
         if item.state is WaitState.WAITING:
             self._remove(item)
             raise self._deadline_passed(item)
@@ -182,7 +204,7 @@
         if not self._policy and len(self._running) < self._slots:
             return 0.0
         now = self._clock.now()
-        bulky_limit = bulky_slots(self._slots)
+        bulky_limit = self._limits.bulky_slots(self._slots)
         slots = bulky_limit
         if not item.bulky:
             slots = self._slots - min(bulky_limit, sum(other.bulky for other in self._running))
@@ -205,6 +227,10 @@
         late = self.predicted_wait(item) + item.expected - budget
         return max(MIN_RETRY_AFTER_S, float(math.ceil(late)))
 
+    def _make_policy(self, rules: Rules) -> AdmissionPolicy:
+        limits = self._limits
+        return make_policy(rules, credit=limits.share_credit_s, debt=limits.share_debt_s)
+
     def _refuse_hopeless(self, item: Waiting) -> None:
         wait = self.predicted_wait(item)
         # With a free slot the request is tried in any case: otherwise a kind that was slow
@@ -227,11 +253,11 @@
         )
 
     def _bound(self, item: Waiting) -> None:
-        if self.queued < MAX_QUEUED:
+        if self.queued < self._limits.max_queued:
             return
         self._metrics.count("dispatch.refused.queue_full")
         error = RefusedError(
-            f"{MAX_QUEUED} requests are waiting already",
+            f"{self._limits.max_queued} requests are waiting already",
             outcome=Outcome.NOT_RUN,
             status=503,
             retry_after=self.retry_after(item),
@@ -246,7 +272,7 @@
         last.refuse(error)
 
     def _start_next(self) -> None:
-        bulky_limit = bulky_slots(self._slots)
+        bulky_limit = self._limits.bulky_slots(self._slots)
         self._policy.advance(self._clock.now(), self._slots)
         while len(self._running) < self._slots:
             bulky_running = sum(item.bulky for item in self._running)
@@ -258,7 +284,7 @@
                 item.refuse(self._deadline_passed(item))
                 continue
             expected = self._times.expected(item.kind)
-            if now > item.arrived and now + HOPELESS_FACTOR * expected > item.deadline:
+            if now > item.arrived and now + self._limits.hopeless_factor * expected > item.deadline:
                 item.refuse(self._too_late(item, 0.0))
                 continue
             item.grant(now)
--- a/src/acaciasaddle/dispatch/_streams.py
+++ b/src/acaciasaddle/dispatch/_streams.py
@@ -29,7 +29,6 @@
 
 CALLER_GONE = (
     PeerError,
-    trio.TooSlowError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
 )
@@ -131,16 +130,18 @@
     async def _pass_on(self, send: Callable[..., Awaitable[None]], *args: object) -> None:
         if self._detached:
             return
-        with trio.CancelScope() as self._scope:
-            try:
-                with trio.fail_after(STALL_LIMIT_S):
-                    await send(*args)
-            except CALLER_GONE as exc:
-                # The result of work that must run once is wanted although the caller is gone.
-                if not self._keep:
-                    raise _cut(f"the caller takes no answer: {exc}", 504) from exc
-                self._detached = True
-        self._scope = None
+        try:
+            with trio.move_on_after(STALL_LIMIT_S) as self._scope:
+                await send(*args)
+            if self._scope.cancelled_caught and not self._detached:
+                raise PeerError("no byte of the answer was taken", step="dispatch.answer")
+        except CALLER_GONE as exc:
+            # The result of work that must run once is wanted although the caller is gone.
+            if not self._keep:
+                raise _cut(f"the caller takes no answer: {exc}", 504) from exc
+            self._detached = True
+        finally:
+            self._scope = None
 
 
 def _cut(reason: str, status: int) -> RefusedError:
