--- a/src/acaciasaddle/peers/_api.py
+++ b/src/acaciasaddle/peers/_api.py
@@ -20,6 +20,7 @@
     from acaciasaddle.model import Row
     from acaciasaddle.model import WorkRequest
     from acaciasaddle.wire import Call
+    from acaciasaddle.wire import Hello
     from acaciasaddle.wire import Reply
 
 WorkHandler = Callable[["WorkRequest", "BodySource", "ReplySink"], Awaitable[None]]
@@ -112,8 +113,17 @@
         """Register the handler of requests from peers."""
 
     @abstractmethod
-    def push_rows(self, rows: Iterable[Row], *, revision: int = 0) -> None:
-        """Send rows to all connected peers without waiting.
+    async def identify(self, address: str) -> Hello:
+        """Return what the host at an address says of itself, for seeds of unknown member id.
+
+        Raises ``PeerUnreachableError`` or ``PeerProtocolError``.
+        """
+
+    @abstractmethod
+    def push_rows(
+        self, rows: Iterable[Row], *, revision: int = 0, fanout: int | None = None
+    ) -> None:
+        """Send rows to all connected peers, or to ``fanout`` random ones, without waiting.
 
         ``revision`` is not 0 if the rows make a mirror complete up to that revision.
         """
