Pin hot keys apart from their shards, and serve calls of a host to itself

Cause: a shard with one hot key is too busy to move as a whole. Change: hot keys are counted in bounded memory and moved as pins; a call to the own member runs the handler directly. Pins are not removed yet.

--- a/features/peers/calls.feature
+++ b/features/peers/calls.feature
@@ -19,6 +19,11 @@
       | raises PlatformError  | Failed table.read |
       | returns no reply      | Failed peer.call  |
 
+  Scenario: a call of a host to itself is served, as between two upstreams that it holds
+    Given peers "a"
+    When calls of a host to itself are made
+    Then the peers' reply is "a@1 own"
+
   Scenario: the reply to a call that was given up does not reach a later one
     Given peers "a"
     When calls to a scripted peer time out, and their replies come late
--- /dev/null
+++ b/features/steps/dispatch_load_steps.py
@@ -0,0 +1,52 @@
+"""Steps of dispatch/load.feature."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.dispatch._load import LoadAverage
+from acaciasaddle.model import UnitId
+
+SEED = 5
+SERVICE_S = 0.01
+UNIT = UnitId("s", "g", 0)
+
+
+class LoadSteps:
+    """Guards against a hot key that stays with its shard because it is not noticed."""
+
+    @staticmethod
+    @given('the load average has seen {cold:d} keys once and the key "hot" {hot:d} times')
+    def seen(context: Any, cold: int, hot: int) -> None:
+        keys = [f"k{number}" for number in range(cold)] + ["hot"] * hot
+        random.Random(SEED).shuffle(keys)
+        context.load = LoadAverage(now=0.0)
+        context.now = 1.0
+        for key in keys:
+            context.load.used(context.now, UNIT, key, SERVICE_S)
+
+    @staticmethod
+    @when("the load average hears nothing for {seconds:d} s")
+    def quiet(context: Any, seconds: int) -> None:
+        context.now += seconds
+
+    @staticmethod
+    @then('the load average names "{key}" first')
+    def first(context: Any, key: str) -> None:
+        keys = context.load.keys(context.now)
+        assert max(keys, key=lambda unit: keys[unit]).key == key, keys
+
+    @staticmethod
+    @then("the load average tracks at most {limit:d} keys")
+    def bounded(context: Any, limit: int) -> None:
+        assert len(context.load.keys(context.now)) <= limit
+
+    @staticmethod
+    @then("the load average names nothing")
+    def nothing(context: Any) -> None:
+        assert not context.load.keys(context.now)
--- a/features/steps/peers_calls_steps.py
+++ b/features/steps/peers_calls_steps.py
@@ -60,6 +60,15 @@
         self.results["reply"] = f"{type(reply).__name__} {reply.step}"
         await self.attempt("next call", lambda: self.a.call("b@1", CALL, timeout=1))
 
+    @peers_when("calls of a host to itself are made")
+    async def own(self) -> None:
+        async def handler(member: str, _: wire.Call) -> wire.Failed:
+            return wire.Failed(reason=member, step="own")
+
+        self.a.on_call(wire.Handover, handler)
+        reply: Any = await self.a.call("a@1", HANDOVER, timeout=1)
+        self.results["reply"] = f"{reply.reason} {reply.step}"
+
     @peers_when("calls to a scripted peer time out, and their replies come late")
     async def late(self) -> None:
         async def serve() -> None:
--- a/src/acaciasaddle/dispatch/_api.py
+++ b/src/acaciasaddle/dispatch/_api.py
@@ -5,6 +5,7 @@
 from abc import abstractmethod
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
@@ -26,12 +27,14 @@
     """Load of an upstream as its holder observes it.
 
     ``busy`` is the part of slot time in use, 0 to 1, averaged over some seconds. ``queued`` is
-    the number of waiting requests. ``unit_busy`` is the slot time used per second by each unit.
+    the number of waiting requests. ``unit_busy`` is the slot time used per second by each unit,
+    ``key_busy`` that of the hottest keys in shards, by the unit of a pin of the key.
     """
 
     busy: float
     queued: int
     unit_busy: Mapping[UnitId, float]
+    key_busy: Mapping[UnitId, float] = field(default_factory=dict)
 
 
 class Dispatcher(Service):
--- a/src/acaciasaddle/dispatch/_queue.py
+++ b/src/acaciasaddle/dispatch/_queue.py
@@ -158,7 +158,7 @@
         seconds = now - item.started
         del self._running[item]
         self._load.change(now, -1)
-        self._load.unit_used(now, item.unit, seconds)
+        self._load.used(now, item.unit, item.key, seconds)
         self._policy.finished(item, seconds)
         if observed:
             self._times.observe(item.kind, seconds)
@@ -197,6 +197,7 @@
             busy=self._load.busy(now, self._slots),
             queued=self.queued,
             unit_busy=self._load.units(now),
+            key_busy=self._load.keys(now),
         )
 
     def predicted_wait(self, item: Waiting) -> float:
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -143,6 +143,7 @@
             bulky=req.bulky,
             arrived=self._clock.now(),
             deadline=job.deadline,
+            key=req.key,
         )
         held = req.unit in self._held
         if not held:
--- a/src/acaciasaddle/dispatch/_waiting.py
+++ b/src/acaciasaddle/dispatch/_waiting.py
@@ -36,6 +36,7 @@
     bulky: bool
     arrived: float
     deadline: float
+    key: str = ""
     expected: float = 0.0
     seq: int = 0
     started: float = 0.0
--- a/src/acaciasaddle/ownership/_balance.py
+++ b/src/acaciasaddle/ownership/_balance.py
@@ -30,6 +30,10 @@
 MIN_GAP = 0.2
 SAMPLE_SIZE = 3
 MAX_UNITS = 4
+# Slot time per second from which a key is worth an entry of its own.
+MIN_PIN_LOAD = 0.05
+# Pins of a service are one row and part of every grant's exclusions.
+MAX_PINS = 256
 
 log = get_logger("placement")
 
@@ -87,17 +91,43 @@
         target, busy = await self._least_busy()
         if target is None or load.busy - busy < MIN_GAP:
             return
-        allowed = {
-            unit: used
-            for unit, used in load.unit_busy.items()
-            if unit in self._held.moves.movable() and self._allowed(unit, target)
-        }
-        units = units_to_move(
-            unit_busy=allowed, slots=self._held.info.entry.slots, gap=load.busy - busy
-        )
+        slots, gap = self._held.info.entry.slots, load.busy - busy
+        movable = self._held.moves.movable()
+        candidates = {unit: used for unit, used in load.unit_busy.items() if unit in movable}
+        candidates.update(self._pins(load.key_busy, candidates, gap / 2 * slots, target))
+        allowed = {u: used for u, used in candidates.items() if self._allowed(u, target)}
+        units = units_to_move(unit_busy=allowed, slots=slots, gap=gap)
         reason = f"load {load.busy:.2f} against {busy:.2f}"
         await self._held.moves.move([Move(unit=u, target=target, reason=reason) for u in units])
 
+    def _pins(
+        self,
+        key_busy: Mapping[UnitId, float],
+        units: Mapping[UnitId, float],
+        room: float,
+        target: UpstreamId,
+    ) -> dict[UnitId, float]:
+        """Return hot keys worth keeping apart from their shards.
+
+        Only keys of shards that are too busy to move as a whole, since a pin costs a row entry
+        that stays. Upstreams that do not check orders cannot refuse a key taken out of a shard.
+        """
+        cfg = self._ctx.mirror.configuration
+        info = cfg.upstreams.get(target) if cfg else None
+        if info is None or not info.entry.checks_orders:
+            return {}
+        if not self._held.info.entry.checks_orders:
+            return {}
+        pins = self._ctx.mirror.pins_row(self._held.id.service)
+        if pins is not None and len(pins.units) >= MAX_PINS:
+            return {}
+        chosen = {}
+        for pin, used in key_busy.items():
+            shard = self._held.moves.shard_of(pin)
+            if shard in units and units[shard] > room and used >= MIN_PIN_LOAD:
+                chosen[pin] = used
+        return chosen
+
     def _allowed(self, unit: UnitId, target: UpstreamId) -> bool:
         return target in self._ctx.placement.usable(unit.service, unit.group)
 
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -79,6 +79,7 @@
         self.reachable = False
         self.state = "unknown"
         self.granted: frozenset[UnitId] = frozenset()
+        self.excluded: frozenset[UnitId] = frozenset()
         self.running: frozenset[str] = frozenset()
         self.order_done = trio.Event()
         self._ctx = ctx
@@ -261,16 +262,25 @@
             valid_until = self._reading + LEASE_S * 1000
             # Noted before the order is sent: it may take effect although no answer comes.
             self.lapsed_after = max(self.lapsed_after, self._reading_received_at + at_most(LEASE_S))
+        excluded = frozenset(self.moves.excluded(wanted))
         replace = not self._known_to_upstream or wanted != self.granted
-        order = self._order_body(valid_until, wanted if replace else None)
+        replace = valid_until is not None and (replace or excluded != self.excluded)
+        order = self._order_body(valid_until, wanted if replace else None, excluded)
         try:
             state = await self._control.order(order)
         except UpstreamError as exc:
             self._unreachable(exc)
             return
         self._answered(state, wanted, valid_until, sent_at)
+        if replace and state.accepted and self._known_to_upstream:
+            self.excluded = excluded
 
-    def _order_body(self, valid_until: float | None, units: frozenset[UnitId] | None) -> Any:
+    def _order_body(
+        self,
+        valid_until: float | None,
+        units: frozenset[UnitId] | None,
+        excluded: frozenset[UnitId],
+    ) -> Any:
         body: dict[str, Any] = {
             "holder": self._ctx.member,
             "term": self.term,
@@ -280,9 +290,9 @@
             "units": None,
             "excluded": [],
         }
-        if units is not None and valid_until is not None:
+        if units is not None:
             body["units"] = sorted(str(unit) for unit in units)
-            body["excluded"] = sorted(str(unit) for unit in self.moves.excluded(units))
+            body["excluded"] = sorted(str(unit) for unit in excluded)
         return body
 
     def _answered(
--- a/src/acaciasaddle/ownership/_moves.py
+++ b/src/acaciasaddle/ownership/_moves.py
@@ -16,6 +16,7 @@
 from acaciasaddle.model import UnitId
 from acaciasaddle.model import UnitsRow
 from acaciasaddle.model import UpstreamId
+from acaciasaddle.model import shard_of
 from acaciasaddle.observe import get_logger
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
 from acaciasaddle.ownership._limits import DRAIN_LIMIT_S
@@ -33,6 +34,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from acaciasaddle.model import OnceRecord
     from acaciasaddle.ownership._context import Context
     from acaciasaddle.ownership._held import HeldUpstream
 
@@ -94,6 +96,12 @@
         all_pins = (UnitId.pin(service, group, key) for group, key in names)
         return [pin for pin in all_pins if pin not in granted]
 
+    def shard_of(self, pin: UnitId) -> UnitId:
+        """Return the shard that a pinned key belongs to."""
+        first = self._ctx.mirror.units_row(f"units/{pin.service}/{pin.group}/0")
+        shards = first.shards if first else 1
+        return UnitId(pin.service, pin.group, shard_of(pin.key, shards))
+
     def confirm(self, units: Sequence[UnitId], epochs: Sequence[int]) -> None:
         """Take note that the previous owners have released these units."""
         self._confirmed.update(zip(units, epochs, strict=True))
@@ -157,14 +165,24 @@
             return
         self._leaving.difference_update(outgoing)
         batch = self._without_bulky(outgoing)
-        for unit in batch:
-            self._ctx.dispatcher.hold(unit)
-        drained = await self._drain(batch)
+        # A key that is pinned for the first time is still served as part of its shard.
+        sources = {unit: self._source(unit) for unit in batch}
+        for source in sources.values():
+            self._ctx.dispatcher.hold(source)
+        idle = await self._drain(list(dict.fromkeys(sources.values())))
+        drained = [unit for unit in batch if sources[unit] in idle]
         self._leaving.update(drained)
         if await self._revoked(drained):
             self._held.forget_grants(drained)
             await self._send_releases({unit: outgoing[unit] for unit in drained})
         self._settle(batch)
+        for source in set(sources.values()).difference(batch):
+            self._ctx.dispatcher.resume(source)
+
+    def _source(self, unit: UnitId) -> UnitId:
+        if not unit.is_pin or unit in self._held.granted:
+            return unit
+        return self.shard_of(unit)
 
     def _settle(self, units: Iterable[UnitId]) -> None:
         """Let waiting requests of released units go to the new holder, and others go on."""
@@ -176,7 +194,8 @@
             self._leaving.discard(unit)
 
     def _without_bulky(self, outgoing: Mapping[UnitId, UnitAssignment]) -> list[UnitId]:
-        idle = [u for u in outgoing if self._ctx.dispatcher.bulky_running(u) == 0]
+        bulky_running = self._ctx.dispatcher.bulky_running
+        idle = [unit for unit in outgoing if bulky_running(self._source(unit)) == 0]
         return idle[:MOVE_BATCH]
 
     async def _drain(self, units: Sequence[UnitId]) -> list[UnitId]:
@@ -194,13 +213,16 @@
 
     async def _revoked(self, units: Sequence[UnitId]) -> bool:
         """Wait until the upstream has no grant for the units and runs none of their requests."""
-        names = {str(unit) for unit in units}
+        names = {str(self._source(unit)) for unit in units}
+        first_pins = {unit for unit in units if self._source(unit) != unit}
         with trio.move_on_after(DRAIN_LIMIT_S):
             while not self._held.lost():
                 done = self._held.order_done
                 self._held.wake()
                 await done.wait()
-                if not names & self._held.running and not set(units) & self._held.granted:
+                granted = set(units) & self._held.granted
+                excluded = first_pins <= self._held.excluded
+                if excluded and not granted and not names & self._held.running:
                     return True
         return self._held.lost()
 
@@ -229,7 +251,7 @@
             upstream=owner,
             units=tuple(units),
             epochs=tuple(epochs[unit].epoch for unit in units),
-            records=self._ctx.dispatcher.export_records(self._held.id, units),
+            records=self._records(units),
             memory_since_ms=max(int(self._ctx.dispatcher.memory_since(self._held.id) * 1000), 0),
         )
         try:
@@ -245,6 +267,15 @@
         )
         return isinstance(reply, Done)
 
+    def _records(self, units: Sequence[UnitId]) -> tuple[OnceRecord, ...]:
+        """Return the records of units; those of a newly pinned key are among its shard's."""
+        export = self._ctx.dispatcher.export_records
+        records = export(self._held.id, [unit for unit in units if self._source(unit) == unit])
+        for pin in [unit for unit in units if self._source(unit) != unit]:
+            of_shard = export(self._held.id, [self.shard_of(pin)])
+            records += tuple(replace(record, unit=pin) for record in of_shard)
+        return records
+
     def _forget_released(self) -> None:
         own = self._own()
         for unit in [u for u in self._released if u not in own]:
@@ -349,7 +380,7 @@
             move.unit: UnitAssignment(
                 owner=str(move.target),
                 previous=str(self._held.id),
-                epoch=own[move.unit].epoch + 1,
+                epoch=own[move.unit].epoch + 1 if move.unit in own else 1,
                 since=int(time.time()),
                 reason=move.reason,
             )
@@ -381,6 +412,10 @@
         by_row: dict[str, dict[UnitId, UnitAssignment]] = {}
         for unit, assignment in changes.items():
             by_row.setdefault(unit.row_key, {})[unit] = assignment
+        for unit in changes:
+            # A pin is made of a shard that this upstream owns; the shard must not have moved.
+            source = self.shard_of(unit).row_key if unit.is_pin else unit.row_key
+            conditions[source] = mirror.version(source)
         for key, units in by_row.items():
             conditions[key] = mirror.version(key)
             puts[key] = self._changed_row(key, units)
--- a/src/acaciasaddle/peers/_api.py
+++ b/src/acaciasaddle/peers/_api.py
@@ -93,7 +93,10 @@
 
     @abstractmethod
     async def call(self, member: str, call: Call, *, timeout: float) -> Reply:
-        """Send a call and return its reply. Raises ``PeerUnreachableError`` or ``PeerError``."""
+        """Send a call and return its reply; a call to this host itself is served directly.
+
+        Raises ``PeerUnreachableError`` or ``PeerError``.
+        """
 
     @abstractmethod
     def on_call(self, kind: type[Call], handler: CallHandler) -> None:
