Send requests that run at most once over confirmed peer connections only

Cause: a request sent into a connection that has gone silent ends with an unknown outcome, although it never ran. Connections to a few members were closed and dialled again each minute although digests used them. Change: before a once request goes out over a connection that delivered nothing for 1 s, a heartbeat has to be answered; if none is, the request fails as not sent. A heartbeat counts as use. A scenario runs two hubs over TCP on loopback. Conclusion: the extra round trip arises only on idle connections; partners exchange heartbeats anyway.

--- a/features/peers/connections.feature
+++ b/features/peers/connections.feature
@@ -15,6 +15,17 @@
     And the peers' silent call time is from 1.0 to 1.3
     And the peers' next call is "done"
 
+  Scenario Outline: a request that must run at most once is not sent into a silent connection
+    Given peers "ab"
+    When the peer "a" sends "b" a request with once <once> over a connection that has gone silent
+    Then the peers' silent request is "PeerUnreachableError <sent>"
+    And the peers' next request is "done"
+
+    Examples:
+      | once  | sent     |
+      | true  | not sent |
+      | false | sent     |
+
   Scenario: a partner is cut off one way, so that its answers are lost
     Given peers "ab"
     And the peer "a" has the partner "b"
@@ -29,6 +40,13 @@
     When the peers' direction from "a" to "b" is cut during a request
     Then the peers' time from cut to cancellation is from 1 to 3.5
 
+  Scenario: connections over TCP
+    Given peers "a"
+    When the peers meet over TCP on loopback
+    Then the peers' call is "done"
+    And the peers' member at the address is "other@1"
+    And the peers' call after the end is "PeerUnreachableError not sent refused"
+
   Scenario: a refused connection is told from one without an answer
     Given peers "a"
     When the peer "a" calls a host that refuses and one that does not answer
--- a/features/steps/peers_connections_steps.py
+++ b/features/steps/peers_connections_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
 import random
 from typing import Any
 
@@ -12,9 +14,13 @@
 from peers_support import Caller
 from peers_support import PeersSteps
 from peers_support import Raw
+from peers_support import done
 from peers_support import peers_when
 
 from acaciasaddle import wire
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.observe import NullMetrics
+from acaciasaddle.peers import TcpPeerHub
 
 
 class ConnectionSteps(PeersSteps):
@@ -39,6 +45,24 @@
         await self.attempt("silent call", lambda: self.a.call("b@1", CALL, timeout=30))
         await self.attempt("next call", lambda: self.a.call("b@1", CALL, timeout=1))
 
+    @peers_when(
+        'the peer "a" sends "b" a request with once {once} over a connection that has gone silent'
+    )
+    async def silent_once(self, once: str) -> None:
+        async def answer(req: Any, body: Any, reply: Any) -> None:
+            await reply.head(200, ())
+            await reply.end()
+
+        req = dataclasses.replace(REQUEST, once=once == "true")
+        self.b.on_work(answer)
+        # Digests would keep the connection busy and so reveal its silence.
+        self.a._beat = self.b._beat = lambda member: None
+        await self.a.call("b@1", CALL, timeout=1)
+        await trio.sleep(10)
+        self.network.silence_open_connections()
+        for name in ("silent request", "next request"):
+            await self.attempt(name, lambda: self.a.work("b@1", req, Body(), Caller()))
+
     @peers_when('the peers\' direction from "{source}" to "{target}" is cut during a request')
     async def cut(self, source: str, target: str) -> None:
         async def endless(*_: Any) -> None:
@@ -63,6 +87,32 @@
         vouched = self.a.vouched_at("b@1")
         self.results["vouched reading after the cut"] = vouched - self.cut_at
 
+    @peers_when("the peers meet over TCP on loopback")
+    async def tcp(self) -> None:
+        one, other = [
+            TcpPeerHub(
+                member=member,
+                data_centre="north",
+                address="127.0.0.1:0",
+                clock=TrioClock(),
+                metrics=NullMetrics(),
+            )
+            for member in ("one@1", "other@1")
+        ]
+        other.on_call(wire.RowsSince, done)
+        # With autojump the clock would jump over all timeouts while sockets are waited for.
+        self.clock.autojump_threshold = math.inf
+        self.clock.rate = 1.0
+        async with trio.open_nursery() as nursery:
+            await nursery.start(one.run)
+            await nursery.start(other.run)
+            one.set_members({"other@1": other.address})
+            await self.attempt("call", lambda: one.call("other@1", CALL, timeout=2))
+            self.results["member at the address"] = (await one.identify(other.address)).member
+            await other.stop()
+            await self.attempt("call after the end", lambda: one.call("other@1", CALL, timeout=2))
+            nursery.cancel_scope.cancel()
+
     @peers_when('the peer "a" calls a host that refuses and one that does not answer')
     async def no_host(self) -> None:
         self.meet("c", "d")
--- a/src/acaciasaddle/peers/_connection.py
+++ b/src/acaciasaddle/peers/_connection.py
@@ -19,6 +19,7 @@
 from acaciasaddle.observe import get_logger
 from acaciasaddle.peers._limits import ACCEPTED_IDLE_S
 from acaciasaddle.peers._limits import ACCEPTED_SILENCE_S
+from acaciasaddle.peers._limits import CONFIRM_S
 from acaciasaddle.peers._limits import HEARTBEAT_S
 from acaciasaddle.peers._limits import IDLE_S
 from acaciasaddle.peers._limits import PARTNER_SILENCE_S
@@ -126,6 +127,7 @@
         self._last_incoming = 0
         self._serving_calls = 0
         self._push_dropped = False
+        self._received = trio.lowlevel.ParkingLot()
         self._last_received = state.clock.now()
         self._last_used = state.clock.now()
         self._receivers: dict[type[Message], Callable[[Any], None]] = {
@@ -194,6 +196,7 @@
         for incoming in self._incoming.values():
             incoming.fail(PeerUnreachableError(reason, step="peer.work", peer=self.member))
         self.queue.close()
+        self._received.unpark_all()
         self._scope.cancel()
         log.info(
             "connection ended",
@@ -212,7 +215,7 @@
         if self.closed or clock_us in self._beats:
             return
         self._beats[clock_us] = now
-        self._last_beat = now
+        self._last_beat = self._last_used = now
         self._put(
             Priority.URGENT,
             Heartbeat(
@@ -274,6 +277,8 @@
 
     async def work(self, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
         """Have the peer serve a request."""
+        if req.once:
+            await self._confirm()
         await self.queue.space(Priority.CONTROL)
         now = self._state.clock.now()
         self._last_used = now
@@ -291,6 +296,12 @@
             self._abandon(stream)
             self._stream_ended()
 
+    async def _confirm(self) -> None:
+        while not self.closed and self._state.clock.now() - self._last_received > CONFIRM_S:
+            if not self._beats:
+                self.heartbeat()
+            await self._received.park()
+
     def _abandon(self, stream: OutgoingWork) -> None:
         if stream.finished or self.closed:
             return
@@ -372,6 +383,7 @@
             while (data := await self._frames.receive()) is not None:
                 now = self._state.clock.now()
                 self._last_received = now
+                self._received.unpark_all()
                 self._state.heard[self.member] = now
                 self._receive(decode(data))
                 if self.queue.overrun:
--- a/src/acaciasaddle/peers/_limits.py
+++ b/src/acaciasaddle/peers/_limits.py
@@ -7,6 +7,11 @@
 """Three heartbeats. A successor vouches for 250 ms, so a later finding would come too late."""
 
 SILENCE_S = 1.0
+CONFIRM_S = 1.0
+"""A request that must run at most once goes only over a connection that delivered something within
+this time; otherwise a heartbeat is answered first. On a dead connection its outcome would be
+unknown."""
+
 ACCEPTED_SILENCE_S = 3.0
 """An accepted connection with work in progress and no message for this time has lost its dialler,
 which sends a heartbeat at least once a second while it has work open."""
