Refuse peer addresses that are not IP number and port

Cause: the address of a peer comes from a row that another host wrote; a port above 65535 raised OverflowError in the dialling task and would have ended the hub, and a name would have been looked up in DNS. Change: addresses are checked before they are dialled; the call fails as not sent.

--- a/features/peers/connections.feature
+++ b/features/peers/connections.feature
@@ -42,8 +42,11 @@
 
   Scenario: connections over TCP
     Given peers "a"
-    When the peers meet over TCP on loopback
-    Then the peers' call is "done"
+    When the peers meet over TCP on loopback, after trying invalid addresses
+    Then the peers' name is "PeerUnreachableError not sent"
+    And the peers' port is "PeerUnreachableError not sent"
+    And the peers' empty is "PeerUnreachableError not sent"
+    And the peers' call is "done"
     And the peers' member at the address is "other@1"
     And the peers' call after the end is "PeerUnreachableError not sent refused"
 
--- a/features/steps/peers_connections_steps.py
+++ b/features/steps/peers_connections_steps.py
@@ -22,6 +22,8 @@
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.peers import TcpPeerHub
 
+BAD_ADDRESSES = {"name": "entry.example:7000", "port": "127.0.0.1:99999", "empty": ""}
+
 
 class ConnectionSteps(PeersSteps):
     """Guards against hosts that take a dead connection for a live one, or the reverse."""
@@ -87,7 +89,7 @@
         vouched = self.a.vouched_at("b@1")
         self.results["vouched reading after the cut"] = vouched - self.cut_at
 
-    @peers_when("the peers meet over TCP on loopback")
+    @peers_when("the peers meet over TCP on loopback, after trying invalid addresses")
     async def tcp(self) -> None:
         one, other = [
             TcpPeerHub(
@@ -106,6 +108,9 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(one.run)
             await nursery.start(other.run)
+            for name, address in BAD_ADDRESSES.items():
+                one.set_members({f"{name}@1": address})
+                await self.attempt(name, lambda to=name: one.call(f"{to}@1", CALL, timeout=2))
             one.set_members({"other@1": other.address})
             await self.attempt("call", lambda: one.call("other@1", CALL, timeout=2))
             self.results["member at the address"] = (await one.identify(other.address)).member
--- a/src/acaciasaddle/peers/_transport.py
+++ b/src/acaciasaddle/peers/_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -20,12 +21,20 @@
 """Listens on ``ip:port`` and returns the listener and its address with the real port."""
 
 
+MAX_PORT = 65_535
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return IP number and port of ``ip:port`` or ``[ip]:port``. Raises ``PeerError``."""
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
+    try:
+        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not 0 <= number <= MAX_PORT:
         raise PeerError(f"the address {address!r} is not ip:port", step="peer.address")
-    return host.removeprefix("[").removesuffix("]"), int(port)
+    return str(ip), number
 
 
 async def connect_tcp(address: str) -> trio.abc.Stream:
