Bound what a successor does before the row names it

Cause: by reasoning, not by a failed run: a holder that replaced an unreachable successor could take an upstream for lost and move its units while that successor, behind the same partition as the upstream, fenced and served it at the next term. Rows whose write took effect but whose answer was lost left the holder on the old term. Change: a successor that acts without the row asks all other hosts of its data centre for newer rows and stops after 1 s without their answers; a holder that replaced a successor takes an upstream for lost only after that time, unless the upstream has accepted the new term. The holder adopts the term of its own row.

--- a/src/acaciasaddle/entry/_host.py
+++ b/src/acaciasaddle/entry/_host.py
@@ -266,11 +266,22 @@
 
 
 def run_entry_host(settings: Settings) -> None:
-    """Run an entry host until SIGTERM or SIGINT."""
+    """Run an entry host until SIGTERM or SIGINT. Raises ``OSError`` if it cannot listen."""
     configure_logs(
         level=settings.log.level, json=settings.log.format == "json", host=settings.host_id
     )
-    trio.run(_run, settings)
+    try:
+        trio.run(_run, settings)
+    except ExceptionGroup as group:
+        failures, _ = group.split(OSError)
+        if failures is None:
+            raise
+        raise _first(failures) from None
+
+
+def _first(group: BaseExceptionGroup[OSError]) -> OSError:
+    exc = group.exceptions[0]
+    return _first(exc) if isinstance(exc, BaseExceptionGroup) else exc
 
 
 async def _run(settings: Settings) -> None:
--- a/src/acaciasaddle/mirror/_mirror.py
+++ b/src/acaciasaddle/mirror/_mirror.py
@@ -76,6 +76,7 @@
         self.serial = 0
         self.store_heard_at = float("-inf")
         self.store_up = False
+        self._outage_logged = False
         self.configuration: Configuration | None = None
         hub.on_rows(self._take_pushed)
         hub.on_call(RowsSince, self._answer_rows_since)
@@ -179,18 +180,21 @@
             self._poll_now = trio.Event()
 
     async def _poll(self) -> None:
+        asked_at = self._clock.now()
         try:
             await self.refresh()
         except PlatformError as exc:
-            if self.store_up or not self.complete:
+            if not self._outage_logged:
                 log.warning("store is out of reach", step=exc.step, error=exc.message)
+            self._outage_logged = True
             self.store_up = False
             await self._ask_peers()
             return
         if not self.store_up:
             log.info("store is reachable", revision=self.revision)
+        self._outage_logged = False
         self.store_up = True
-        self.store_heard_at = self._clock.now()
+        self.store_heard_at = asked_at
 
     async def _ask_peers(self) -> None:
         ahead = [digest for digest in self._hub.digests() if digest.revision > self.revision]
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -20,6 +20,7 @@
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
 from acaciasaddle.ownership._limits import HOLDER_SUSPECT_S
 from acaciasaddle.ownership._limits import LEASE_S
+from acaciasaddle.ownership._limits import REPLACED_STOPS_S
 from acaciasaddle.ownership._limits import at_most
 from acaciasaddle.ownership._rendezvous import rendezvous_owner
 from acaciasaddle.wire import AskLoad
@@ -271,13 +272,20 @@
             stopped_at = max(self._ctx.hub.answered_at(row.holder), since) + at_most(AUTHORITY_S)
             if handed or self._ctx.clock.now() > stopped_at:
                 reason = "handed over" if handed else f"{row.holder} is silent"
-                await self._take_over(info, row, stopped_at, reason, handed=handed)
+                await self._take_over(info, row, stopped_at, since, reason, handed=handed)
                 return
             with trio.move_on_after(max(stopped_at - self._ctx.clock.now(), STAND_BY_STEP_S)):
                 await woken.wait()
 
     async def _take_over(
-        self, info: UpstreamInfo, row: UpstreamRow, stopped_at: float, reason: str, *, handed: bool
+        self,
+        info: UpstreamInfo,
+        row: UpstreamRow,
+        stopped_at: float,
+        known_since: float,
+        reason: str,
+        *,
+        handed: bool,
     ) -> None:
         log.info("takeover", upstream=str(info.id), holder=row.holder, reason=reason)
         self._ctx.metrics.count("authority.takeovers")
@@ -293,6 +301,7 @@
             row_written=False,
             lapsed_after=stopped_at + at_most(LEASE_S),
             memory_since=self._memory_since.get(info.id, self._ctx.clock.wall()),
+            replaced_until=known_since + REPLACED_STOPS_S,
             ctx=self._ctx,
         )
         self._router.announce(info.id, term=held.term, member=self._ctx.member)
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -17,12 +17,15 @@
 from acaciasaddle.ownership._api import Permit
 from acaciasaddle.ownership._balance import LoadBalance
 from acaciasaddle.ownership._control import UpstreamControl
+from acaciasaddle.ownership._limits import ACTING_CHECK_S
+from acaciasaddle.ownership._limits import ACTING_S
 from acaciasaddle.ownership._limits import AUTHORITY_S
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
 from acaciasaddle.ownership._limits import LEASE_S
 from acaciasaddle.ownership._limits import LOSS_GRACE_S
 from acaciasaddle.ownership._limits import ORDER_TIMEOUT_S
 from acaciasaddle.ownership._limits import RENEW_INTERVAL_S
+from acaciasaddle.ownership._limits import REPLACED_STOPS_S
 from acaciasaddle.ownership._limits import SUCCESSOR_SILENT_S
 from acaciasaddle.ownership._limits import at_least
 from acaciasaddle.ownership._limits import at_most
@@ -31,6 +34,8 @@
 from acaciasaddle.wire import Handover
 from acaciasaddle.wire import KeepRecords
 from acaciasaddle.wire import KeepRows
+from acaciasaddle.wire import RowsPart
+from acaciasaddle.wire import RowsSince
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -56,7 +61,8 @@
 
     ``lapsed_after`` is the reading of this host's clock after which no lease given by this or an
     earlier holder can be in force any more. ``row_written`` is false while this host acts as
-    successor on the term after the row's.
+    successor on the term after the row's. ``replaced_until`` is the reading until which a replaced
+    successor may still act on an upstream that has not been ordered since its replacement.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
         row_written: bool,
         lapsed_after: float,
         memory_since: float,
+        replaced_until: float = NEVER,
         ctx: Context,
     ) -> None:
         self.info = info
@@ -74,6 +81,8 @@
         self.term = term
         self.row_written = row_written
         self.lapsed_after = lapsed_after
+        self._replaced_until = replaced_until
+        self._acting_since = ctx.clock.now()
         self.memory_since = memory_since
         self.ended = trio.Event()
         self.reachable = False
@@ -117,6 +126,8 @@
         """Whether this host may order the upstream now."""
         if self.ended.is_set() or self._stopped:
             return False
+        if not self.row_written and self._ctx.clock.now() > self._acting_since + ACTING_S:
+            return False
         successor = self.successor
         if not successor:
             rules = self._ctx.rules
@@ -152,8 +163,8 @@
 
     def lost(self) -> bool:
         """Whether the upstream is to be treated as lost."""
-        overdue = self._ctx.clock.now() > self.lapsed_after + LOSS_GRACE_S
-        return overdue and not self.reachable
+        surely_expired = max(self.lapsed_after + LOSS_GRACE_S, self._replaced_until)
+        return self._ctx.clock.now() > surely_expired and not self.reachable
 
     def end(self, reason: str) -> None:
         """Give up the upstream."""
@@ -177,6 +188,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._renew)
             nursery.start_soon(self._keep_row)
+            nursery.start_soon(self._keep_acting)
             nursery.start_soon(self.moves.run)
             nursery.start_soon(self._balance.run)
             await self.ended.wait()
@@ -237,6 +249,7 @@
     async def _renew(self) -> None:
         while True:
             started = self._ctx.clock.now()
+            self._adopt_term()
             if self.in_authority():
                 await self._order()
             if self.lost() and not self._was_lost:
@@ -250,6 +263,15 @@
             with trio.move_on_after(max(pause, 0.005)):
                 await self._wake.wait()
 
+    def _adopt_term(self) -> None:
+        """Take over the term of a row that was written although its answer was lost."""
+        row = self._ctx.mirror.upstream_row(self.id)
+        if not self.row_written or row is None or row.holder != self._ctx.member:
+            return
+        if row.term > self.term:
+            self.term = row.term
+            self._replaced_until = self._ctx.clock.now() + self._isolation_limit()
+
     async def _order(self) -> None:
         if not self.info.entry.checks_orders:
             await self._probe()
@@ -316,6 +338,9 @@
         self.reachable = True
         self.state = state.state
         self._accepted_term = state.term
+        if state.term == self.term:
+            # Whoever was successor at a lower term is refused from now on.
+            self._replaced_until = NEVER
         self.running = state.running
         if self._instance != state.instance:
             # First contact, or a restarted process with another clock. What an earlier holder
@@ -368,6 +393,44 @@
         # A lost answer leaves open which units the upstream knows.
         self._known_to_upstream = False
 
+    # Authority before the row names this host
+
+    async def _keep_acting(self) -> None:
+        """Ask the other hosts of the data centre whether the row has changed.
+
+        While the store is out of reach, the former holder may live on behind a partition, name
+        another successor and move units of an upstream that it takes for lost. The other hosts
+        would know.
+        """
+        while not self.row_written:
+            asked_at = self._ctx.clock.now()
+            if await self._ask_for_newer_rows():
+                self._acting_since = asked_at
+            await trio.sleep(ACTING_CHECK_S)
+
+    async def _ask_for_newer_rows(self) -> bool:
+        members = self._ctx.members
+        row = self._ctx.mirror.upstream_row(self.id)
+        former = row.holder if row else ""
+        answers: list[bool] = []
+
+        async def ask(member: str) -> None:
+            question = RowsSince(revision=self._ctx.mirror.revision)
+            try:
+                reply = await self._ctx.hub.call(member, question, timeout=CALL_TIMEOUT_S)
+            except PeerError:
+                answers.append(False)
+                return
+            if isinstance(reply, RowsPart):
+                self._ctx.mirror.take(reply.rows, source=member)
+            answers.append(isinstance(reply, RowsPart))
+
+        async with trio.open_nursery() as nursery:
+            for member in members.live(members.data_centre):
+                if member not in (former, self._ctx.member):
+                    nursery.start_soon(ask, member)
+        return all(answers)
+
     # Row: successor and health
 
     async def _keep_row(self) -> None:
@@ -404,13 +467,27 @@
             if await self.change_successor(candidate):
                 return
         if current and self._ctx.clock.now() - hub.vouched_at(current) > SUCCESSOR_SILENT_S:
+            # Nobody else could tell the replaced successor to stop.
+            self._replaced_until = self._ctx.clock.now() + self._isolation_limit()
             await self._write_row(successor="", bump=True)
 
+    def _isolation_limit(self) -> float:
+        rules = self._ctx.rules
+        return at_most(rules.isolation_limit_s + LEASE_S) if rules else float("inf")
+
     async def change_successor(self, member: str) -> bool:
         """Name another successor; returns whether the row does. Raises ``PlatformError``."""
         try:
-            prepared = await self._prepare_successor(member)
-            return prepared and await self._write_row(successor=member, bump=True)
+            replaced = self.successor
+            if not await self._prepare_successor(member):
+                return False
+            if replaced:
+                self._replaced_until = self._ctx.clock.now() + self._isolation_limit()
+            if not await self._write_row(successor=member, bump=True):
+                return False
+            if replaced and await self.keep_rows(member):
+                self._replaced_until = self._ctx.clock.now() + REPLACED_STOPS_S
+            return True
         finally:
             self.pending_successor = ""
 
@@ -444,6 +521,9 @@
         prefix = f"units/{self.id.service}/"
         rows = [row for row in mirror.below("units") if row.key.startswith(prefix)]
         rows.extend(row for row in mirror.below("pins") if row.key == f"pins/{self.id.service}")
+        own = mirror.get(self.id.row_key)
+        if own is not None:
+            rows.append(own)
         try:
             reply = await self._ctx.hub.call(
                 member, KeepRows(rows=tuple(rows)), timeout=CALL_TIMEOUT_S
--- a/src/acaciasaddle/ownership/_limits.py
+++ b/src/acaciasaddle/ownership/_limits.py
@@ -12,6 +12,13 @@
 # Wait after a lease has expired before the units move: a host under load answers late.
 LOSS_GRACE_S = 0.15
 SUCCESSOR_SILENT_S = 0.16
+# A host that acts as holder before the row names it must have asked all other hosts of its data
+# centre for newer rows within this time.
+ACTING_S = 1.0
+ACTING_CHECK_S = 0.3
+# After a new successor knows its row, a replaced one has stopped acting, and the lease that it
+# last renewed has expired.
+REPLACED_STOPS_S = (ACTING_S + LEASE_S + ORDER_TIMEOUT_S) * (1 + CLOCK_DRIFT)
 CALL_TIMEOUT_S = 0.5
 HOLDER_SUSPECT_S = 2.0
 MOVE_BATCH = 16
