Export at-most-once records of keys that were pinned, faster

Cause: a record belongs to the unit of its key at that time. When the key is pinned or unpinned and then moves, the export of its new unit left the record out, so that a repeat at the new owner would have run again. Taking in 40,000 records blocked the process for 1.6 s.

Change: an export also covers the former unit of a pinned or unpinned key. Entries are found by unit; the time in the key is read at eviction only, a known answer is kept as it is, and only running entries have an event.

--- a/features/dispatch/once.feature
+++ b/features/dispatch/once.feature
@@ -89,6 +89,17 @@
     When dispatch once records are exported during a run
     Then the dispatch export says "started"
 
+  Scenario Outline: dispatch exports once records of a key that was <change> since
+    When a dispatch once request of "<unit>" is served and the records of "<wanted>" exported
+    Then the dispatch export says "<states>"
+
+    Examples:
+      | change         | unit                    | wanted                  | states    |
+      | pinned         | bookings/default/3      | bookings/default/key:k1 | completed |
+      | unpinned       | bookings/default/key:k1 | bookings/default/3      | completed |
+      | left untouched | bookings/default/3      | bookings/default/4      | none      |
+      | not the pinned | bookings/default/3      | bookings/default/key:k2 | none      |
+
   Scenario: dispatch evicts once records without letting a repeat run
     Given a dispatch memory limit for 10 once records
     When 30 dispatch once requests are served 1 s apart and all repeated
--- a/features/steps/dispatch_once_steps.py
+++ b/features/steps/dispatch_once_steps.py
@@ -14,6 +14,8 @@
 from dispatch_support import UPSTREAM
 from dispatch_support import run
 
+from acaciasaddle.model import UnitId
+
 if TYPE_CHECKING:
     from dispatch_support import World
 
@@ -133,6 +135,16 @@
 
         DispatchPlan.of(context).add(act)
 
+    @staticmethod
+    @when('a dispatch once request of "{unit}" is served and the records of "{wanted}" exported')
+    def export_unit(context: Any, unit: str, wanted: str) -> None:
+        async def act(world: World) -> None:
+            await world.serve(world.request("deposit", unit=UnitId.parse(unit), key="k1"))
+            units = [UnitId.parse(wanted)]
+            context.exported = world.dispatcher.export_records(UPSTREAM, units)
+
+        DispatchPlan.of(context).add(act)
+
     @staticmethod
     @when("dispatch once records are exported while a copy takes long")
     def export_during_copy(context: Any) -> None:
@@ -233,7 +245,8 @@
     @then('the dispatch export says "{state}"')
     def exported(context: Any, state: str) -> None:
         DispatchPlan.of(context).played()
-        assert [r.state.value for r in context.exported] == [state], context.exported
+        states = ", ".join(r.state.value for r in context.exported)
+        assert (states or "none") == state, context.exported
 
     @staticmethod
     @then('the dispatch repeats were answered "completed" or "unknown" and nothing ran twice')
--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -239,7 +239,11 @@
         req = job.req
         while True:
             entry, is_new = self._once.claim(
-                upstream=req.upstream, unit=req.unit, caller=req.caller, key=req.idempotency_key
+                upstream=req.upstream,
+                unit=req.unit,
+                caller=req.caller,
+                key=req.idempotency_key,
+                work_key=req.key,
             )
             if is_new:
                 job.entry = entry
--- a/src/acaciasaddle/dispatch/_once.py
+++ b/src/acaciasaddle/dispatch/_once.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 import trio
@@ -22,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from acaciasaddle.clock import Clock
     from acaciasaddle.config import Rules
@@ -48,29 +48,25 @@
 class OnceEntry:
     """A record and its run. ``state`` is ``None`` until the request may have been sent.
 
+    ``work_key`` is the key that the request works on, ``None`` if another host began it.
     ``copied`` is true if the successor may know of it, ``left_out`` if an export did not name
-    it. ``minted`` is the time of day in the idempotency key, ``created`` a reading of the clock.
+    it. ``created`` is a reading of the clock, ``size`` the memory taken, in bytes.
     """
 
     key: RecordKey
     unit: UnitId
     upstream: UpstreamId
-    minted: float
     created: float
     state: OnceState | None = None
     status: int = 0
     headers: Headers = ()
     body: bytes | None = None
     running: bool = False
+    work_key: str | None = None
     copied: bool = False
     left_out: bool = False
-    ended: trio.Event = field(default_factory=trio.Event)
-
-    @property
-    def size(self) -> int:
-        """Memory taken, in bytes."""
-        headers = sum(len(name) + len(value) + 100 for name, value in self.headers)
-        return RECORD_OVERHEAD + headers + len(self.body or b"")
+    ended: trio.Event = ENDED
+    size: int = 0
 
     def record(self, now: float) -> OnceRecord:
         """Return the record as sent to other hosts."""
@@ -113,6 +109,7 @@
         self._memory_since = memory_since
         self._memory_limit = memory_limit
         self._entries: OrderedDict[RecordKey, OnceEntry] = OrderedDict()
+        self._by_unit: dict[UnitId, dict[RecordKey, OnceEntry]] = {}
         self._with_body: OrderedDict[RecordKey, OnceEntry] = OrderedDict()
         self._memory = 0
         self._evicted: dict[UpstreamId, float] = {}
@@ -130,7 +127,7 @@
         return since if evicted is None else max(since, evicted - self._rules().clock_skew_s)
 
     def claim(
-        self, *, upstream: UpstreamId, unit: UnitId, caller: str, key: str
+        self, *, upstream: UpstreamId, unit: UnitId, caller: str, key: str, work_key: str
     ) -> tuple[OnceEntry, bool]:
         """Return the entry of a request, and whether it is a new one that the caller is to run.
 
@@ -148,9 +145,10 @@
             key=record_key,
             unit=unit,
             upstream=upstream,
-            minted=minted,
             created=self._clock.now(),
+            ended=trio.Event(),
             running=True,
+            work_key=work_key,
         )
         self._add(entry)
         return entry, True
@@ -166,6 +164,7 @@
         entry.headers = headers
         entry.body = body
         if self._entries.get(entry.key) is entry:
+            entry.size = _size(entry)
             self._memory += entry.size
             if body:
                 self._with_body[entry.key] = entry
@@ -188,11 +187,8 @@
         """Return the records of some units, or of all units of an upstream."""
         self._expire()
         now = self._clock.now()
-        wanted = None if units is None else frozenset(units)
         records = []
-        for entry in self._entries.values():
-            if entry.upstream != upstream if wanted is None else entry.unit not in wanted:
-                continue
+        for entry in self._of_upstream(upstream) if units is None else self._of_units(units):
             if entry.state is None:
                 entry.left_out = True
             else:
@@ -204,12 +200,12 @@
         now = self._clock.now()
         for record in records:
             key = (record.unit.service, record.caller, record.idempotency_key)
+            completed = record.state is OnceState.COMPLETED
+            not_run = completed and record.status == NOT_RUN_STATUS
             old = self._entries.get(key)
             if old is not None and old.running:
                 continue
-            not_run = record.state is OnceState.COMPLETED and record.status == NOT_RUN_STATUS
-            completed = record.state is OnceState.COMPLETED and not not_run
-            if old is not None and old.state is OnceState.COMPLETED and not completed:
+            if old is not None and (old.state is OnceState.COMPLETED or not completed):
                 old.upstream = upstream
                 continue
             if old is not None:
@@ -221,7 +217,6 @@
                     key=key,
                     unit=record.unit,
                     upstream=upstream,
-                    minted=self._minted(record),
                     created=now - record.age_ms / 1000,
                     state=OnceState.COMPLETED if completed else OnceState.UNKNOWN,
                     status=record.status,
@@ -230,11 +225,28 @@
                 )
             )
 
-    def _minted(self, record: OnceRecord) -> float:
-        try:
-            return minted_at(record.idempotency_key)
-        except RequestError:
-            return self._clock.wall() - record.age_ms / 1000
+    def _of_upstream(self, upstream: UpstreamId) -> Iterator[OnceEntry]:
+        return (entry for entry in self._entries.values() if entry.upstream == upstream)
+
+    def _of_units(self, units: Iterable[UnitId]) -> Iterator[OnceEntry]:
+        """Return the entries that go with some units.
+
+        A key that was pinned or unpinned since has entries under its former unit. If the key
+        is not known they go with either: a record too many does no harm.
+        """
+        found: dict[int, OnceEntry] = {}
+        pins = [unit for unit in self._by_unit if unit.is_pin]
+        shards = [unit for unit in self._by_unit if not unit.is_pin]
+        for unit in units:
+            for entry in self._by_unit.get(unit, {}).values():
+                found[id(entry)] = entry
+            for other in shards if unit.is_pin else pins:
+                if (other.service, other.group) != (unit.service, unit.group):
+                    continue
+                for entry in self._by_unit[other].values():
+                    if other.is_pin or entry.work_key in (None, unit.key):
+                        found[id(entry)] = entry
+        return iter(found.values())
 
     def _check_age(self, upstream: UpstreamId, minted: float) -> None:
         rules = self._rules()
@@ -253,7 +265,9 @@
             raise _unknown("records of that age may have been lost", upstream)
 
     def _add(self, entry: OnceEntry) -> None:
+        entry.size = _size(entry)
         self._entries[entry.key] = entry
+        self._by_unit.setdefault(entry.unit, {})[entry.key] = entry
         self._memory += entry.size
         if entry.body:
             self._with_body[entry.key] = entry
@@ -262,6 +276,10 @@
     def _drop(self, entry: OnceEntry) -> None:
         if self._entries.get(entry.key) is entry:
             del self._entries[entry.key]
+            of_unit = self._by_unit[entry.unit]
+            del of_unit[entry.key]
+            if not of_unit:
+                del self._by_unit[entry.unit]
             self._with_body.pop(entry.key, None)
             self._memory -= entry.size
 
@@ -285,8 +303,10 @@
         """Drop the oldest bodies, then the oldest records, until the limit is kept."""
         while self._memory > self._memory_limit and self._with_body:
             _, entry = self._with_body.popitem(last=False)
-            self._memory -= len(entry.body or b"")
             entry.body = None
+            self._memory -= entry.size
+            entry.size = _size(entry)
+            self._memory += entry.size
         if self._memory <= self._memory_limit:
             return
         excess = self._memory - self._memory_limit
@@ -299,8 +319,14 @@
                 excess -= entry.size
         for entry in oldest:
             self._drop(entry)
-            limit = self._evicted.get(entry.upstream, entry.minted)
-            self._evicted[entry.upstream] = max(limit, entry.minted)
+            minted = minted_at(entry.key[2])
+            limit = self._evicted.get(entry.upstream, minted)
+            self._evicted[entry.upstream] = max(limit, minted)
+
+
+def _size(entry: OnceEntry) -> int:
+    headers = sum(len(name) + len(value) + 100 for name, value in entry.headers)
+    return RECORD_OVERHEAD + headers + len(entry.body or b"")
 
 
 def _unknown(reason: str, upstream: UpstreamId) -> RefusedError:
