Never call a request not run after an attempt that may have run

Cause: an idempotent request whose first attempt was lost on its connection and whose retry was shed, late or refused by the authority was refused as "not run" although the first attempt may have run.

Change: such a refusal has the outcome unknown (504). A NotOwnerError after such an attempt, or after the loss of the upstream, has the step dispatch.lost, so that the ingress can tell the outcome if routing again fails.

Conclusion: the ingress has to look at the step.

--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -17,6 +17,9 @@
       | lookup | cut             | 200 cut, 504 unknown   | 1     |
       | lookup | stall           | 200 cut, 504 unknown   | 1     |
       | lookup | refuse term     | not owner              | 1     |
+      | lookup | reset,shed      | 504 unknown            | 2     |
+      | lookup | silent,late     | 504 unknown            | 2     |
+      | lookup | reset,refuse term | lost, then not owner | 2     |
       | lookup | shed            | 503 not-run            | 1     |
       | lookup | late            | 504 not-run            | 1     |
 
--- a/features/dispatch/moves.feature
+++ b/features/dispatch/moves.feature
@@ -35,7 +35,7 @@
 
     Examples:
       | kind    | ms  | result               |
-      | lookup  | 50  | not owner            |
+      | lookup  | 50  | lost, then not owner |
       | lookup  | 250 | 200 cut, 504 unknown |
       | deposit | 50  | 504 unknown          |
 
--- a/features/steps/dispatch_failures_steps.py
+++ b/features/steps/dispatch_failures_steps.py
@@ -81,7 +81,7 @@
             # A connection that has answered before, as in normal operation.
             await world.serve(world.request("lookup"))
             world.upstream.seen.clear()
-            world.upstream.script = [action] * times
+            world.upstream.script = action.split(",") * times
 
         DispatchPlan.of(context).add(act)
 
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -22,6 +22,7 @@
 from acaciasaddle.config import Rank
 from acaciasaddle.config import Rules
 from acaciasaddle.dispatch import LocalDispatcher
+from acaciasaddle.dispatch._runner import STEP_LOST
 from acaciasaddle.errors import AuthorityLostError
 from acaciasaddle.errors import NotOwnerError
 from acaciasaddle.errors import PeerError
@@ -326,7 +327,8 @@
         if self.ended:
             return f"{self.status} complete"
         if isinstance(self.error, NotOwnerError):
-            return "not owner"
+            # The step tells the ingress that an attempt may have run.
+            return "lost, then not owner" if self.error.step == STEP_LOST else "not owner"
         if isinstance(self.error, RequestError):
             return f"{self.error.status} bad request"
         if isinstance(self.error, RefusedError):
--- a/src/acaciasaddle/dispatch/_job.py
+++ b/src/acaciasaddle/dispatch/_job.py
@@ -22,7 +22,8 @@
 
     ``may_repeat``: the kind may run twice without harm. ``sent`` is true once the current
     attempt may have reached the upstream, and ``unsettled`` is an attempt that was given up
-    while the upstream may go on with it; ``lost`` if the upstream's lease has expired.
+    while the upstream may go on with it; ``may_have_run`` is true if that goes for an earlier
+    attempt; ``lost`` if the upstream's lease has expired.
     """
 
     req: WorkRequest
@@ -36,6 +37,7 @@
     waiting: Waiting | None = None
     attempts: int = 0
     sent: bool = False
+    may_have_run: bool = False
     unsettled: Exchange | None = None
     lost: bool = False
     error: Exception | None = None
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -55,6 +55,9 @@
 
 STEP = "dispatch.serve"
 
+STEP_LOST = "dispatch.lost"
+"""Step of a ``NotOwnerError`` after an attempt that may have run; the kind may run again."""
+
 
 class JobRunner:
     """Runs jobs. Cancellations at upstreams go on in ``nursery``."""
@@ -80,9 +83,15 @@
         self._log = get_logger("dispatch")
 
     async def run(self, job: Job) -> None:
+        """Serve a job. Raises what ``Dispatcher.serve`` does."""
         self._progress.add(job)
         try:
-            await self._attempts(job)
+            try:
+                await self._attempts(job)
+            except (NotOwnerError, RefusedError) as exc:
+                if not job.may_have_run:
+                    raise
+                raise _after_sent_attempt(job, exc) from exc
         except AcaciasaddleError as exc:
             self._log.info(
                 "Request failed.",
@@ -123,6 +132,7 @@
                             self._cancel_at_upstream, target, None, job.unsettled
                         )
                     job.unsettled = None
+                    job.may_have_run |= job.sent
                     job.sent = False
         finally:
             if job.unsettled is not None and not job.lost:
@@ -324,10 +334,13 @@
 
     def interrupted(self, job: Job) -> AcaciasaddleError:
         """Return the error of a job that was stopped because its upstream or caller is lost."""
+        may_have_run = job.sent or job.may_have_run
         untouched = job.may_repeat and not job.answer.started and not job.upload.consumed
-        if not job.sent or untouched:
+        if not may_have_run or untouched:
             return NotOwnerError(
-                "the upstream was lost before it answered", step=STEP, peer=str(job.req.upstream)
+                "the upstream was lost before it answered",
+                step=STEP_LOST if may_have_run else STEP,
+                peer=str(job.req.upstream),
             )
         return refused(job.req, "the upstream was lost while the request ran", Outcome.UNKNOWN, 504)
 
@@ -356,3 +369,11 @@
         step="dispatch.replicate",
         peer=str(job.req.upstream),
     )
+
+
+def _after_sent_attempt(job: Job, exc: NotOwnerError | RefusedError) -> AcaciasaddleError:
+    """Return the error of a retry that did not run, after an attempt that may have."""
+    if isinstance(exc, NotOwnerError):
+        return NotOwnerError(exc.message, step=STEP_LOST, peer=exc.peer)
+    reason = f"an earlier attempt may have run; then: {exc.message}"
+    return refused(job.req, reason, Outcome.UNKNOWN, 504)
