--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 import trio
+from trio._core import _run as trio_run
 from trio.testing import MockClock
 
 from acaciasaddle.clock import TrioClock
@@ -337,6 +338,9 @@
     """Run one scenario under one way and return its requests."""
     found = arrivals(service, scenario)
     clock = MockClock(autojump_threshold=0)
+    # Trio otherwise runs tasks that are due at the same time in a random order.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(SEED)
     if way == "aimd":
         trio.run(aimd, service, found, clock=clock)
     else:
--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -81,6 +81,14 @@
     Then the dispatch result is "200 cut, 504 unknown" after 1 sends
     And the dispatch slots are all free
 
+  Scenario: dispatch frees the slot of once work on a silent connection before its outcome
+    Given the dispatch policy "shares" and an upstream with 1 slot
+    And a dispatch upstream that will do "silent"
+    When a dispatch request "deposit" with 2000 ms arrives
+    And 1.4 s pass for dispatch
+    And a dispatch request of kind "lookup" is served
+    Then the dispatch result is "200 complete" after 2 sends
+
   Scenario: dispatch logs its decision with request, unit, upstream and reason
     Given a dispatch upstream that will do "reset"
     When a dispatch request of kind "lookup" is served
@@ -97,7 +105,7 @@
 
   Scenario: dispatch closes connections that are idle for 30 s
     When a dispatch request of kind "lookup" is served
-    And 36 s pass for dispatch
+    And 31 s pass for dispatch
     Then the dispatch upstream has 0 open connections
 
   Scenario: dispatch replaces headers of the system and drops hop-by-hop ones
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -14,6 +14,7 @@
 import structlog
 import trio
 from httpcore._backends.trio import TrioStream
+from trio._core import _run as trio_run
 from trio.testing import MockClock
 from trio.testing import memory_stream_pair
 
@@ -86,6 +87,9 @@
 )
 
 
+REFUSALS = ("refuse term", "shed", "late")
+
+
 @dataclass
 class Seen:
     """A request as the upstream received it."""
@@ -121,6 +125,7 @@
         self.chunk_delay = 0.0
         self.refuse_connections = 0
         self.seen: list[Seen] = []
+        self.ran: list[Seen] = []
         self.cancelled: list[str] = []
         self.connections = 0
         self.open = 0
@@ -177,6 +182,8 @@
         if not isinstance(event, h11.EndOfMessage):
             return False
         seen.whole = True
+        if action not in REFUSALS:
+            self.ran.append(seen)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -423,6 +430,7 @@
     rules: Rules = RULES,
     once_memory: int = 32 * 1024 * 1024,
     log_level: int = logging.WARNING,
+    seed: int = 0,
 ) -> None:
     """Run ``main`` with a dispatcher on a virtual clock."""
 
@@ -435,4 +443,7 @@
 
     # Ten thousand lines of log would take most of the time.
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(log_level))
+    # Trio otherwise runs tasks that are due at the same time in a random order.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(seed)
     trio.run(outer, clock=MockClock(autojump_threshold=0))
--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -45,7 +45,8 @@
 SHORT_UPLOAD_STALL_S = 5.0
 """Stall limit for bodies that are not bulky: a stalled body occupies a slot."""
 
-SWEEP_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 0.25
+"""Time between two looks at silent requests and idle connections."""
 
 REPLAYED = ("Acaciasaddle-Replayed", "true")
 
@@ -98,6 +99,7 @@
             try:
                 while True:
                     await trio.sleep(SWEEP_INTERVAL_S)
+                    self._running.give_up_slots()
                     for target in list(self._targets.values()):
                         await target.connections.close_idle()
             finally:
--- a/src/acaciasaddle/dispatch/_progress.py
+++ b/src/acaciasaddle/dispatch/_progress.py
@@ -7,6 +7,8 @@
 import trio
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from acaciasaddle.dispatch._job import Job
     from acaciasaddle.dispatch._waiting import Waiting
     from acaciasaddle.model import UnitId
@@ -30,6 +32,10 @@
         del self._jobs[job]
         self._notify()
 
+    def jobs(self) -> Iterable[Job]:
+        """Return all jobs."""
+        return tuple(self._jobs)
+
     def start(self, item: Waiting) -> None:
         """Take note that a request has a slot."""
         self._running.setdefault(item.unit, {})[item] = None
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -53,6 +53,12 @@
 PATIENCE_FACTOR = 8.0
 """Wait for an answer on an old connection, in observed service times."""
 
+SLOT_PATIENCE_S = 1.0
+"""Shortest time after which work that cannot be repeated loses its slot without an answer.
+
+Its connection may have gone silent for good, and its outcome is waited for much longer.
+"""
+
 STEP = "dispatch.serve"
 
 STEP_LOST = "dispatch.lost"
@@ -165,6 +171,23 @@
     def configure(self, target: Target, permit: Permit) -> None:
         target.queue.configure(rules=self._rules(), slots=min(permit.slots, permit.connections))
 
+    def give_up_slots(self) -> None:
+        """Free the slots of requests whose connections are probably silent.
+
+        Such a request goes on waiting for its answer and still counts as in progress. If the
+        upstream is busy with it after all, it sheds one request too many as "not run".
+        """
+        now = self._clock.now()
+        for job in self._progress.jobs():
+            item = job.waiting
+            if item is None or not job.sent or job.may_repeat or job.req.bulky:
+                continue
+            if job.answer.started or not job.upload.complete:
+                continue
+            expected = job.target.queue.expected(job.req.kind)
+            if now - item.started > max(SLOT_PATIENCE_S, PATIENCE_FACTOR * expected):
+                job.target.queue.release(item, observed=False)
+
     def _free_slot(self, job: Job, *, observed: bool) -> None:
         if job.waiting is not None:
             self._finish(job.target, job.waiting, observed=observed)
