--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -45,7 +45,8 @@
 SHORT_UPLOAD_STALL_S = 5.0
 """Stall limit for bodies that are not bulky: a stalled body occupies a slot."""
 
-SWEEP_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 0.25
+"""Time between two looks at silent requests and idle connections."""
 
 REPLAYED = ("Acaciasaddle-Replayed", "true")
 
@@ -98,6 +99,7 @@
             try:
                 while True:
                     await trio.sleep(SWEEP_INTERVAL_S)
+                    self._running.give_up_slots()
                     for target in list(self._targets.values()):
                         await target.connections.close_idle()
             finally:
@@ -239,7 +241,11 @@
         req = job.req
         while True:
             entry, is_new = self._once.claim(
-                upstream=req.upstream, unit=req.unit, caller=req.caller, key=req.idempotency_key
+                upstream=req.upstream,
+                unit=req.unit,
+                caller=req.caller,
+                key=req.idempotency_key,
+                work_key=req.key,
             )
             if is_new:
                 job.entry = entry
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -53,8 +53,17 @@
 PATIENCE_FACTOR = 8.0
 """Wait for an answer on an old connection, in observed service times."""
 
+SLOT_PATIENCE_S = 1.0
+"""Shortest time after which work that cannot be repeated loses its slot without an answer.
+
+Its connection may have gone silent for good, and its outcome is waited for much longer.
+"""
+
 STEP = "dispatch.serve"
 
+STEP_LOST = "dispatch.lost"
+"""Step of a ``NotOwnerError`` after an attempt that may have run; the kind may run again."""
+
 
 class JobRunner:
     """Runs jobs. Cancellations at upstreams go on in ``nursery``."""
@@ -80,9 +89,15 @@
         self._log = get_logger("dispatch")
 
     async def run(self, job: Job) -> None:
+        """Serve a job. Raises what ``Dispatcher.serve`` does."""
         self._progress.add(job)
         try:
-            await self._attempts(job)
+            try:
+                await self._attempts(job)
+            except (NotOwnerError, RefusedError) as exc:
+                if not job.may_have_run:
+                    raise
+                raise _after_sent_attempt(job, exc) from exc
         except AcaciasaddleError as exc:
             self._log.info(
                 "Request failed.",
@@ -123,6 +138,7 @@
                             self._cancel_at_upstream, target, None, job.unsettled
                         )
                     job.unsettled = None
+                    job.may_have_run |= job.sent
                     job.sent = False
         finally:
             if job.unsettled is not None and not job.lost:
@@ -156,6 +172,23 @@
     def configure(self, target: Target, permit: Permit) -> None:
         target.queue.configure(rules=self._rules(), slots=min(permit.slots, permit.connections))
 
+    def give_up_slots(self) -> None:
+        """Free the slots of requests whose connections are probably silent.
+
+        Such a request goes on waiting for its answer and still counts as in progress. If the
+        upstream is busy with it after all, it sheds one request too many as "not run".
+        """
+        now = self._clock.now()
+        for job in self._progress.jobs():
+            item = job.waiting
+            if item is None or not job.sent or job.may_repeat or job.req.bulky:
+                continue
+            if job.answer.started or not job.upload.complete:
+                continue
+            expected = job.target.queue.expected(job.req.kind)
+            if now - item.started > max(SLOT_PATIENCE_S, PATIENCE_FACTOR * expected):
+                job.target.queue.release(item, observed=False)
+
     def _free_slot(self, job: Job, *, observed: bool) -> None:
         if job.waiting is not None:
             self._finish(job.target, job.waiting, observed=observed)
@@ -325,10 +358,13 @@
 
     def interrupted(self, job: Job) -> AcaciasaddleError:
         """Return the error of a job that was stopped because its upstream or caller is lost."""
+        may_have_run = job.sent or job.may_have_run
         untouched = job.may_repeat and not job.answer.started and not job.upload.consumed
-        if not job.sent or untouched:
+        if not may_have_run or untouched:
             return NotOwnerError(
-                "the upstream was lost before it answered", step=STEP, peer=str(job.req.upstream)
+                "the upstream was lost before it answered",
+                step=STEP_LOST if may_have_run else STEP,
+                peer=str(job.req.upstream),
             )
         return refused(job.req, "the upstream was lost while the request ran", Outcome.UNKNOWN, 504)
 
@@ -357,3 +393,11 @@
         step="dispatch.replicate",
         peer=str(job.req.upstream),
     )
+
+
+def _after_sent_attempt(job: Job, exc: NotOwnerError | RefusedError) -> AcaciasaddleError:
+    """Return the error of a retry that did not run, after an attempt that may have."""
+    if isinstance(exc, NotOwnerError):
+        return NotOwnerError(exc.message, step=STEP_LOST, peer=exc.peer)
+    reason = f"an earlier attempt may have run; then: {exc.message}"
+    return refused(job.req, reason, Outcome.UNKNOWN, 504)
