End exchanges whose body nobody reads

Cause: hypercorn ends an exchange only after the application has read all its messages. Ruled out: the dispatcher's drain and the hub, by a dump of all tasks. Requests that waited at an upstream given up were not sent on either. Change: the end of an answer drops the rest of the body; all waiting requests of an upstream given up are sent to its new holder. The new scenario hangs without the change.

--- /dev/null
+++ b/features/steps/entry_exchange_steps.py
@@ -0,0 +1,146 @@
+"""Steps of entry/exchange.feature."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+import trio.testing
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.entry._exchange import CallerBody
+from acaciasaddle.entry._exchange import CallerReply
+from acaciasaddle.errors import RequestError
+
+MAX_BYTES = 200_000
+STALL_S = 5.0
+
+
+class ScriptedCaller:
+    """Sends body messages, then disconnects once it may."""
+
+    def __init__(self, *, chunks: int, size: int, stalls: bool = False) -> None:
+        self.left = chunks
+        self.size = size
+        self.stalls = stalls
+        self.gone = trio.Event()
+
+    async def receive(self) -> Any:
+        if self.left:
+            self.left -= 1
+            body = bytes(self.size)
+            return {"type": "http.request", "body": body, "more_body": self.left > 0 or self.stalls}
+        if not self.stalls:
+            await self.gone.wait()
+            return {"type": "http.disconnect"}
+        await trio.sleep_forever()
+
+    async def send(self, message: Any) -> None:
+        await trio.lowlevel.checkpoint()
+        if not message.get("more_body", True):
+            self.gone.set()
+
+
+class ExchangeSteps:
+    """Guards against exchanges that never end, so that a graceful stop waits for ever."""
+
+    @staticmethod
+    def serve(context: Any, work: Any) -> None:
+        async def main() -> None:
+            caller = ScriptedCaller(**context.script)
+            body = CallerBody(receive=caller.receive, max_bytes=MAX_BYTES, stall_timeout=STALL_S)
+            reply = CallerReply(send=caller.send, request_id="r", body=body)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(body.pump, nursery.cancel_scope)
+                await work(caller, body, reply)
+            context.caller = caller
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    @staticmethod
+    async def read_all(body: CallerBody) -> int:
+        size = 0
+        while chunk := await body.receive():
+            size += len(chunk)
+        return size
+
+    @staticmethod
+    @given("an exchange with a body of {chunks:d} chunks of {size:d} bytes")
+    def body(context: Any, chunks: int, size: int) -> None:
+        context.script = {"chunks": chunks, "size": size}
+
+    @staticmethod
+    @given("an exchange with a body that stalls")
+    def stalling(context: Any) -> None:
+        context.script = {"chunks": 2, "size": 10, "stalls": True}
+
+    @staticmethod
+    @given("an exchange with a body that is too large")
+    def large(context: Any) -> None:
+        context.script = {"chunks": 30, "size": 10_000}
+
+    @staticmethod
+    @when("the exchange is answered after {count:d} chunks were read")
+    def answered(context: Any, count: int) -> None:
+        async def work(caller: Any, body: CallerBody, reply: CallerReply) -> None:
+            for _ in range(count):
+                await body.receive()
+            await reply.head(503, ())
+            await reply.end()
+
+        ExchangeSteps.serve(context, work)
+
+    @staticmethod
+    @when("the exchange's body is read, rewound and read again")
+    def twice(context: Any) -> None:
+        async def work(caller: Any, body: CallerBody, reply: CallerReply) -> None:
+            first = await ExchangeSteps.read_all(body)
+            second = await ExchangeSteps.read_all(body) if body.rewind() else 0
+            context.sizes = (first, second)
+            caller.gone.set()
+
+        ExchangeSteps.serve(context, work)
+
+    @staticmethod
+    @when("the exchange's body is read to its end")
+    def to_end(context: Any) -> None:
+        async def work(caller: Any, body: CallerBody, reply: CallerReply) -> None:
+            try:
+                await ExchangeSteps.read_all(body)
+            except RequestError as exc:
+                context.status = exc.status
+
+        ExchangeSteps.serve(context, work)
+
+    @staticmethod
+    @when("the exchange's caller goes away while its request is served")
+    def away(context: Any) -> None:
+        async def work(caller: Any, body: CallerBody, reply: CallerReply) -> None:
+            caller.gone.set()
+            context.finished = False
+            await trio.sleep(3600)
+            context.finished = True
+
+        ExchangeSteps.serve(context, work)
+
+    @staticmethod
+    @then("the exchange took all messages of the caller")
+    def took_all(context: Any) -> None:
+        assert context.caller.left == 0, context.caller.left
+
+    @staticmethod
+    @then("the exchange's body was read as {first:d} and {second:d} bytes")
+    def sizes(context: Any, first: int, second: int) -> None:
+        assert context.sizes == (first, second), context.sizes
+
+    @staticmethod
+    @then("the exchange fails with status {status:d}")
+    def status(context: Any, status: int) -> None:
+        assert context.status == status
+
+    @staticmethod
+    @then("the exchange is cancelled")
+    def cancelled(context: Any) -> None:
+        assert not context.finished
--- a/src/acaciasaddle/dispatch/_api.py
+++ b/src/acaciasaddle/dispatch/_api.py
@@ -69,6 +69,10 @@
     def reject(self, unit: UnitId) -> None:
         """Fail waiting requests of the unit with ``NotOwnerError``: it is owned elsewhere now."""
 
+    @abstractmethod
+    def given_up(self, upstream: UpstreamId) -> None:
+        """Fail all waiting requests of an upstream that this host holds no longer."""
+
     @abstractmethod
     def upstream_lost(self, upstream: UpstreamId) -> None:
         """Abort requests in progress at an upstream whose lease has expired."""
--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -160,6 +160,11 @@
         for target in self._targets.values():
             target.queue.reject(unit)
 
+    def given_up(self, upstream: UpstreamId) -> None:
+        target = self._targets.get(upstream)
+        for unit in target.queue.units() if target is not None else ():
+            self.reject(unit)
+
     def upstream_lost(self, upstream: UpstreamId) -> None:
         for job in self._progress.with_slot(upstream):
             job.lose()
--- a/src/acaciasaddle/dispatch/_queue.py
+++ b/src/acaciasaddle/dispatch/_queue.py
@@ -190,6 +190,10 @@
                 NotOwnerError(f"unit {unit} has moved away", step=STEP, peer=str(self._upstream))
             )
 
+    def units(self) -> set[UnitId]:
+        """Return the units that have waiting requests or are held."""
+        return {item.unit for item in self._policy} | set(self._held)
+
     def load(self) -> UpstreamLoad:
         """Return the observed load."""
         now = self._clock.now()
--- a/src/acaciasaddle/entry/_exchange.py
+++ b/src/acaciasaddle/entry/_exchange.py
@@ -59,12 +59,26 @@
                     self._failure = self._error(f"the body exceeds {self._max_bytes} bytes", 413)
                     return
                 if chunk:
-                    await self._send_chunk.send(chunk)
+                    await self._pass_on(chunk)
                 more = message.get("more_body", False)
         while (await self._receive())["type"] != "http.disconnect":
             continue
         caller_gone.cancel()
 
+    def discard(self) -> None:
+        """Drop the rest of the body, since the answer is complete without it.
+
+        Hypercorn ends an exchange only after the application has read all messages; a body that
+        nobody reads would keep the connection, and a graceful stop, waiting for ever.
+        """
+        self._chunks.close()
+
+    async def _pass_on(self, chunk: bytes) -> None:
+        try:
+            await self._send_chunk.send(chunk)
+        except trio.BrokenResourceError:
+            return
+
     async def receive(self) -> bytes:
         if self._kept is not None and self._next < len(self._kept):
             self._next += 1
@@ -96,8 +110,9 @@
 class CallerReply(ReplySink):
     """Sends the answer to the caller."""
 
-    def __init__(self, *, send: Send, request_id: str) -> None:
+    def __init__(self, *, send: Send, request_id: str, body: CallerBody) -> None:
         self._send = send
+        self._body = body
         self._request_id = request_id
         self._started = False
         self._ended = False
@@ -130,4 +145,5 @@
 
     async def end(self) -> None:
         self._ended = True
+        self._body.discard()
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
--- a/src/acaciasaddle/entry/_ingress.py
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -84,12 +84,12 @@
     async def handle(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one HTTP request given as an ASGI scope."""
         request_id = f"{self._settings.host_id}-{uuid.uuid4().hex}"
-        reply = CallerReply(send=send, request_id=request_id)
         body = CallerBody(
             receive=receive,
             max_bytes=self._settings.max_body_bytes,
             stall_timeout=self._settings.body_stall_timeout_s,
         )
+        reply = CallerReply(send=send, request_id=request_id, body=body)
         self.in_progress += 1
         started = self._clock.now()
         try:
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -172,8 +172,7 @@
             return
         log.info("upstream is given up", upstream=str(self.id), term=self.term, reason=reason)
         self.ended.set()
-        for unit in self.granted:
-            self._ctx.dispatcher.reject(unit)
+        self._ctx.dispatcher.given_up(self.id)
 
     def forget_grants(self, units: Iterable[UnitId]) -> None:
         """Take note that the upstream has these units no longer."""
