--- a/features/peers/calls.feature
+++ b/features/peers/calls.feature
@@ -23,6 +23,7 @@
     Given peers "a"
     When calls of a host to itself are made
     Then the peers' reply is "a@1 own"
+    And the peers' failed reply is "down table.read"
 
   Scenario: the reply to a call that was given up does not reach a later one
     Given peers "a"
--- a/features/steps/peers_calls_steps.py
+++ b/features/steps/peers_calls_steps.py
@@ -69,6 +69,13 @@
         reply: Any = await self.a.call("a@1", HANDOVER, timeout=1)
         self.results["reply"] = f"{reply.reason} {reply.step}"
 
+        async def failing(*_: Any) -> Any:
+            raise PlatformError("down", step="table.read")
+
+        self.a.on_call(wire.Handover, failing)
+        reply = await self.a.call("a@1", HANDOVER, timeout=1)
+        self.results["failed reply"] = f"{reply.reason} {reply.step}"
+
     @peers_when("calls to a scripted peer time out, and their replies come late")
     async def late(self) -> None:
         async def serve() -> None:
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -401,23 +401,29 @@
     async def _balance(self) -> None:
         while True:
             await trio.sleep(BALANCE_INTERVAL_S * random.uniform(0.8, 1.2))
-            place = self._ctx.members.data_centre
-            live = self._ctx.members.live(place)
-            counts = dict.fromkeys(live, 0)
-            for info in self._local_upstreams():
-                row = self._ctx.mirror.upstream_row(info.id)
-                if row is not None and row.holder in counts:
-                    counts[row.holder] += 1
-            fewest = min(counts, key=lambda member: (counts[member], member))
-            if self._stopping or counts[self._ctx.member] <= counts[fewest] + 1:
+            if self._stopping or not self._ctx.mirror.store_up:
                 continue
-            for held in list(self._held.values()):
-                if held.successor == fewest and held.row_written and held.reachable:
-                    log.info("upstream is handed over", upstream=str(held.id), to=fewest)
-                    await held.hand_over()
-                    break
-            else:
-                await self._offer(fewest)
+            try:
+                await self._even_out()
+            except PlatformError as exc:
+                log.info("balance waits", error=str(exc))
+
+    async def _even_out(self) -> None:
+        """Hand one upstream to the host that holds the fewest, if this one holds too many."""
+        counts = dict.fromkeys(self._ctx.members.live(self._ctx.members.data_centre), 0)
+        for info in self._local_upstreams():
+            row = self._ctx.mirror.upstream_row(info.id)
+            if row is not None and row.holder in counts:
+                counts[row.holder] += 1
+        fewest = min(counts, key=lambda member: (counts[member], member))
+        if counts[self._ctx.member] <= counts[fewest] + 1:
+            return
+        for held in list(self._held.values()):
+            if held.successor == fewest and held.row_written and held.reachable:
+                log.info("upstream is handed over", upstream=str(held.id), to=fewest)
+                await held.hand_over()
+                return
+        await self._offer(fewest)
 
     async def _offer(self, member: str) -> None:
         """Make the host with the fewest upstreams the successor of one of this host's."""
--- a/src/acaciasaddle/peers/_hub.py
+++ b/src/acaciasaddle/peers/_hub.py
@@ -242,7 +242,10 @@
         handler = self._state.call_handlers.get(type(call))
         if handler is None:
             return Failed(reason=f"{type(call).__name__} is not served here", step="peer.call")
-        return await handler(self._state.member, call)
+        try:
+            return await handler(self._state.member, call)
+        except AcaciasaddleError as exc:
+            return Failed(reason=exc.message, step=exc.step)
 
     async def work(self, member: str, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
         conn = await self._connection(member, step="peer.work")
