Answer a host's calls to itself, and pass on bad input through peers

Cause: a host that holds two upstreams releases the units that move between them by a call to itself. The hub has no connection to itself and refused the call ("the member is not known"), so such a move did not end while one host held both. Bad input that the holder finds, such as a missing idempotency key, became 504 unknown with a traceback in the log if the request had entered at another host.

Change: the hub gives a call to its own member to the handler. A RequestError of the handler of a request is sent as a refusal with its status.

Conclusion: moves within one host end. Bad input gets 400 from any host.

--- a/src/acaciasaddle/peers/_connection.py
+++ b/src/acaciasaddle/peers/_connection.py
@@ -16,6 +16,7 @@
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.errors import PeerUnreachableError
 from acaciasaddle.errors import RefusedError
+from acaciasaddle.errors import RequestError
 from acaciasaddle.observe import get_logger
 from acaciasaddle.peers._limits import ACCEPTED_IDLE_S
 from acaciasaddle.peers._limits import ACCEPTED_SILENCE_S
@@ -471,7 +472,7 @@
     async def _serve_call(self, message: CallEnvelope) -> None:
         self._serving_calls += 1
         try:
-            reply = await self._reply_to(message.call)
+            reply = await reply_to(self._state, self.member, message.call)
             try:
                 await self._send_reply(message.call_id, reply)
             except PeerProtocolError as exc:
@@ -497,25 +498,6 @@
         await self.queue.space(Priority.CONTROL)
         await self._send(ReplyEnvelope(call_id=number, reply=reply))
 
-    async def _reply_to(self, call: Call) -> Reply:
-        kind = type(call).__name__
-        handler = self._state.call_handlers.get(type(call))
-        if handler is None:
-            return Failed(reason=f"calls of kind {kind} are not served", step="peer.call")
-        try:
-            reply = await handler(self.member, call)
-            if not isinstance(reply, Reply):
-                raise TypeError(f"the handler returned {reply!r}")
-            return reply
-        except AcaciasaddleError as exc:
-            log.warning(
-                "call failed", step=exc.step, peer=self.member, kind=kind, reason=exc.message
-            )
-            return Failed(reason=exc.message, step=exc.step)
-        except Exception as exc:
-            _log_failure("handler of a call failed", "peer.call", self.member, exc)
-            return Failed(reason=f"internal error: {type(exc).__name__}", step="peer.call")
-
     def _on_reply(self, message: ReplyEnvelope) -> None:
         pending = self._calls.get(message.call_id)
         if pending is None or pending.reply is not None:
@@ -588,6 +570,14 @@
             error = self._unknown("the handler returned without a complete answer")
         except (RefusedError, NotOwnerError) as exc:
             error = exc
+        except RequestError as exc:
+            error = RefusedError(
+                exc.message,
+                outcome=Outcome.NOT_RUN,
+                status=exc.status,
+                step=exc.step,
+                peer=exc.peer,
+            )
         except Exception as exc:
             if stream.ended:
                 _log_failure("handler failed after its answer", "peer.work", self.member, exc)
@@ -644,6 +634,25 @@
         return self._outgoing.get(number) if self.dialled else self._incoming.get(number)
 
 
+async def reply_to(state: HubState, member: str, call: Call) -> Reply:
+    """Have a call of ``member`` handled by this host; a failure becomes the reply."""
+    kind = type(call).__name__
+    handler = state.call_handlers.get(type(call))
+    if handler is None:
+        return Failed(reason=f"calls of kind {kind} are not served", step="peer.call")
+    try:
+        reply = await handler(member, call)
+        if not isinstance(reply, Reply):
+            raise TypeError(f"the handler returned {reply!r}")
+        return reply
+    except AcaciasaddleError as exc:
+        log.warning("call failed", step=exc.step, peer=member, kind=kind, reason=exc.message)
+        return Failed(reason=exc.message, step=exc.step)
+    except Exception as exc:
+        _log_failure("handler of a call failed", "peer.call", member, exc)
+        return Failed(reason=f"internal error: {type(exc).__name__}", step="peer.call")
+
+
 async def _relay_both(stream: OutgoingWork, body: BodySource, reply: ReplySink) -> None:
     failure: Exception | None = None
     async with trio.open_nursery() as nursery:
--- a/src/acaciasaddle/peers/_hub.py
+++ b/src/acaciasaddle/peers/_hub.py
@@ -16,6 +16,7 @@
 from acaciasaddle.peers._api import PeerHub
 from acaciasaddle.peers._connection import Connection
 from acaciasaddle.peers._connection import PendingCall
+from acaciasaddle.peers._connection import reply_to
 from acaciasaddle.peers._limits import BACKOFF_MAX_S
 from acaciasaddle.peers._limits import BACKOFF_MIN_S
 from acaciasaddle.peers._limits import DIAL_TIMEOUT_S
@@ -225,6 +226,9 @@
     async def call(self, member: str, call: Call, *, timeout: float) -> Reply:
         pending = PendingCall(since=self._state.clock.now())
         with trio.move_on_after(timeout):
+            if member == self._state.member:
+                # A host that holds two upstreams releases units of one to itself.
+                return await reply_to(self._state, member, call)
             conn = await self._connection(member, step="peer.call")
             return await conn.call(call, pending)
         raise PeerUnreachableError(
