Hand over no upstream while the store is down

Cause: hosts went on to balance upstreams while the store was down. The new holder cannot write its row then and so has no successor. The old holder still found itself in the row, and held the upstream again at its old term about once a second until the upstream refused it; the log of a run of features/fleet/store.feature showed this for three upstreams.

Change: no handover for balance while the store is out of reach. After a successor took over without the table, the former holder stays away from the upstream until the table has answered; a failed question used to end that.

Conclusion: a handover that is under way when the store goes down can still leave an upstream without a successor; that window stays open.

--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -167,8 +167,9 @@
                 elif row is None:
                     await self._create(info)
                 elif row.holder == self._ctx.member and info.id in self._reclaiming:
-                    self._reclaiming.discard(info.id)
                     await self._reclaim(info)
+                    # Only now: without an answer of the store the old term must not be used.
+                    self._reclaiming.discard(info.id)
                 elif row.holder == self._ctx.member:
                     await self._hold_by_row(info, row)
                 elif row.successor == self._ctx.member:
@@ -392,6 +393,9 @@
     async def _balance(self) -> None:
         while True:
             await trio.sleep(BALANCE_INTERVAL_S * random.uniform(0.8, 1.2))
+            if not self._ctx.mirror.store_up:
+                # The new holder could not write its row and would have no successor.
+                continue
             place = self._ctx.members.data_centre
             live = self._ctx.members.live(place)
             counts = dict.fromkeys(live, 0)
