Note each answer in its explanation, and call no begun upload "not run"

Cause: a caller that closed its connection right after the answer cancelled the request's task before the answer was noted, so "explain request" showed only the route. A body that became too long or stalled after its first part was refused as not-run, although an upstream may start as the body arrives. The progress listed hosts in no order.

Change: the answer is noted when the exchange ends. A refusal of a body of which a part was passed on has the outcome unknown. Hosts are sorted by id.

No scenario covers the outcome of an upload that is too long.

--- a/src/acaciasaddle/entry/_exchange.py
+++ b/src/acaciasaddle/entry/_exchange.py
@@ -65,6 +65,11 @@
             continue
         caller_gone.cancel()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of the body has been passed on, so that its request may have started."""
+        return self._kept is None or bool(self._kept)
+
     async def receive(self) -> bytes:
         if self._kept is not None and self._next < len(self._kept):
             self._next += 1
--- a/src/acaciasaddle/entry/_ingress.py
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -100,7 +100,10 @@
         finally:
             self.in_progress -= 1
             self._metrics.timing("ingress.request", (self._clock.now() - started) * 1000)
-            if not reply.ended:
+            if reply.ended:
+                # Here, since a caller that has its answer may go away at once.
+                self._note(request_id, "answer", f"status {reply.status}")
+            else:
                 self._note(request_id, "caller.gone", "the exchange ended without a whole answer")
 
     async def _serve(
@@ -110,7 +113,8 @@
             req = self._classify(scope, request_id)
             await self._forward(req, body, reply)
         except RequestError as exc:
-            await self._refuse(reply, request_id, exc, Outcome.NOT_RUN, exc.status, None)
+            outcome = Outcome.UNKNOWN if body.begun else Outcome.NOT_RUN
+            await self._refuse(reply, request_id, exc, outcome, exc.status, None)
         except RefusedError as exc:
             await self._refuse(reply, request_id, exc, exc.outcome, exc.status, exc.retry_after)
 
@@ -222,7 +226,6 @@
             await self._dispatcher.serve(req, body, reply)
         else:
             await self._hub.work(member, req, body, reply)
-        self._note(req.request_id, "answer", f"status {reply.status}")
 
     def _check_access(self, cfg: Configuration, req: WorkRequest, route: Route) -> None:
         allowed = caller_data_centres(cfg.inventory, cfg.rules, req.caller)
--- a/src/acaciasaddle/entry/_operator.py
+++ b/src/acaciasaddle/entry/_operator.py
@@ -161,7 +161,7 @@
         now = self._ctx.clock.now()
         digests = {digest.member: digest for digest in self._ctx.hub.digests()}
         hosts = []
-        for row in self._ctx.mirror.host_rows():
+        for row in sorted(self._ctx.mirror.host_rows(), key=lambda row: row.host_id):
             if row.state is not HostState.LIVE:
                 continue
             member = member_id(row)
