Test a fleet of real processes

Cause: the other tests use in-memory fakes of hubs, tables and upstreams, which may behave better than sockets, signals and processes do.

Change: four features start a platform, six upstreams and four entry hosts in two data centres, once per feature. They cover equal answers through all hosts, replays, cut answers and uploads, bad input, forged headers, silent connections (by a byte relay), the command line, lost answers of the store, SIGTERM during uploads, SIGKILL of holders, paused hosts and upstreams, and a store outage with a lost holder and an empty host. Hosts of the fleet can be started with seeds.

With the store down, a holder that loses its successor stops, as decision 0002 says; the scenario states it.

--- /dev/null
+++ b/features/fleet/losses.feature
@@ -0,0 +1,24 @@
+Feature: Lost, paused and stopped processes of a fleet
+  Guards against work that runs twice, is cut off or stays unserved when a real process ends or is
+  paused. Targets that depend on the speed of the machine are printed, not checked.
+
+  Background:
+    Given the fleet runs
+
+  Scenario: a host is stopped while one upload enters through it and it dispatches another
+    When the fleet's host that holds "roster/roster-00" gets SIGTERM during both uploads
+    Then both of the fleet's uploads get whole answers and the host exits with 0
+    And the fleet's records show no violation
+
+  Scenario Outline: <event> under load
+    When the fleet is under load with repeats through other hosts and <event>
+    Then every unit of the fleet is served again
+    And the fleet's records show no violation
+    And the fleet's callers had <seen>
+
+    Examples:
+      | event                                                    | seen                 |
+      | the holder of "bookings/bookings-01" is killed           | repeats              |
+      | the holder of "bookings/bookings-00" is paused for 2 s   | repeats              |
+      | the upstream "bookings/bookings-02" is paused for 2 s    | answers by new owners |
+
--- /dev/null
+++ b/features/steps/fleet_commands_steps.py
@@ -0,0 +1,195 @@
+"""Steps of fleet/commands.feature and fleet/store.feature."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from itertools import groupby
+from typing import TYPE_CHECKING
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.emulator._fleet import HostPlan
+from support.fleet_session import LIMIT_S
+from support.fleet_session import RULES
+from support.fleet_session import Query
+from support.fleet_session import deposit
+
+if TYPE_CHECKING:
+    from support.fleet_session import FleetSession
+
+PARALLEL_COMMANDS = 4
+DRAINED = frozenset(("bookings/bookings-03",))
+
+
+def placeholders(session: FleetSession) -> dict[str, str]:
+    """Write the files that commands name; returns what replaces the names in braces."""
+    inventory = session.fleet.inventory()
+    broken = json.loads(json.dumps(inventory))
+    broken["services"][0]["upstreams"][0]["data_centre"] = "nort"
+    values = {
+        "active": inventory,
+        "drained": session.fleet.inventory(leaving=DRAINED),
+        "broken": broken,
+        "rules": RULES,
+    }
+    found = {}
+    for name, value in values.items():
+        path = session.directory / f"{name}.json"
+        path.write_text(json.dumps(value))
+        found[name] = str(path)
+    host = session.hosts[0]
+    answer = Query(method="GET", target="/bookings/k1").send(host.address)
+    found["request"] = answer.headers["acaciasaddle-request-id"]
+    found["settings"] = str(session.directory / f"{host.name}.json")
+    found["host"] = f"--host {host.operator}"
+    return found
+
+
+def run_command(row: tuple[list[str], str, str]) -> None:
+    """Run a command and check its exit code and a part of its output."""
+    args, code, expected = row
+    done = subprocess.run(
+        [sys.executable, "-m", "acaciasaddle", *args],
+        capture_output=True,
+        text=True,
+        timeout=2 * LIMIT_S,
+        check=False,
+    )
+    output = done.stdout + done.stderr
+    assert done.returncode == int(code), (args, done.returncode, output)
+    assert expected in output, (args, output)
+    assert "Traceback" not in output, output
+
+
+class FleetCommandSteps:
+    """Guards the command line and changes."""
+
+    @staticmethod
+    @when("the fleet's operator runs these commands")
+    def commands(context: Any) -> None:
+        names = placeholders(context.fleet)
+        rows = [
+            (r["command"].format(**names).split(), r["code"], r["output"]) for r in context.table
+        ]
+        # Changes run one after the other; commands between them only read.
+        for _, group in groupby(rows, key=lambda row: row[0][0] == "apply" and id(row)):
+            with ThreadPoolExecutor(PARALLEL_COMMANDS) as pool:
+                list(pool.map(run_command, group))
+
+    @staticmethod
+    @then('the fleet\'s upstream "{upstream}" is drained and every unit is served')
+    def drained(context: Any, upstream: str) -> None:
+        session = context.fleet
+
+        def empty() -> bool:
+            rows = {u["upstream"]: u["units"] for u in session.status()["upstreams"]}
+            return rows[upstream] == 0
+
+        session.wait(f"{upstream} owns nothing", empty)
+        session.wait_served()
+        before = session.run(session.fleet.record, session.fleet.upstreams[upstream])
+        session.wait_served()
+        after = session.run(session.fleet.record, session.fleet.upstreams[upstream])
+        assert len(after.runs) == len(before.runs), "a drained upstream got requests"
+
+    @staticmethod
+    @given("the fleet's store loses the answer to the next write")
+    def lose(context: Any) -> None:
+        context.version = context.fleet.status()["config_version"]
+        context.fleet.platform_faults(lose_answers=1)
+
+    @staticmethod
+    @then('the fleet\'s change "{change}" is accepted exactly once, in one version')
+    def once(context: Any, change: str) -> None:
+        session = context.fleet
+        assert session.platform_faults()["lose_answers"] == 0, "no answer was lost"
+        path = "/rows?prefix=config/history&since=0"
+        rows = session.json(session.fleet.platform.address, "GET", path)["rows"]
+        versions = [r["value"]["version"] for r in rows if r["value"]["change_id"] == change]
+        assert versions == [context.version + 1], versions
+        assert session.status()["config_version"] == context.version + 1
+
+    @staticmethod
+    @given("the fleet's store is {state}")
+    def store(context: Any, state: str) -> None:
+        session = context.fleet
+        session.platform_faults(store=state)
+        session.wait(
+            f"each host notices that the store is {state}",
+            lambda: all(
+                session.json(host.operator, "GET", "/status")["store"] == state
+                for host in session.hosts
+            ),
+        )
+
+    @staticmethod
+    @when('the fleet\'s holder of "{upstream}" is killed')
+    def killed(context: Any, upstream: str) -> None:
+        session = context.fleet
+        name = session.holder(upstream)
+        context.unvouched = {
+            row["upstream"]
+            for row in session.status()["upstreams"]
+            if row["successor"].startswith(f"{name}@")
+        }
+        session.run(session.fleet.kill_host, name)
+
+    @staticmethod
+    @then("the fleet answers every unit but those whose holder lost its successor")
+    def left(context: Any) -> None:
+        seconds = context.fleet.wait_served(without=context.unvouched)
+        print(f"Every such unit was answered {seconds:.2f} s after the loss.")
+
+    @staticmethod
+    @then("the fleet refuses those as not run")
+    def unvouched(context: Any) -> None:
+        session = context.fleet
+        keys = session.unit_keys("bookings")
+        owned = [k for k in keys if session.explain("bookings", k)["owner"] in context.unvouched]
+        for key in owned[:1]:
+            answer = deposit(key).send(session.hosts[0].address)
+            seen = (answer.status, answer.headers["acaciasaddle-outcome"])
+            assert seen == (503, "not-run"), answer
+
+    @staticmethod
+    @then("every unit of the fleet is answered by the hosts that are left")
+    def all_left(context: Any) -> None:
+        context.fleet.wait_served()
+
+    @staticmethod
+    @when('the fleet\'s host "{name}" is started with nothing but seeds')
+    def started(context: Any, name: str) -> None:
+        session = context.fleet
+        seeds = tuple(
+            json.loads((session.directory / f"{host.name}.json").read_text())["peer_address"]
+            for host in session.hosts
+        )
+        plan = HostPlan(host_id=name, data_centre="north")
+        session.run(session.fleet.start_host, plan, seeds)
+
+    @staticmethod
+    @then('the fleet\'s host "{name}" gets ready and answers the same units')
+    def ready(context: Any, name: str) -> None:
+        session = context.fleet
+        host = session.fleet.hosts[name]
+        started = time.monotonic()
+        session.wait(
+            f"{name} is ready",
+            lambda: session.json(host.operator, "GET", "/ready").get("ready") is True,
+        )
+        print(f"{name} was ready after {time.monotonic() - started:.2f} s.")
+        session.wait_served(without=context.unvouched, host=name)
+
+    @staticmethod
+    @then("the fleet's configuration is still version {version:d}")
+    def unchanged(context: Any, version: int) -> None:
+        for host in context.fleet.hosts:
+            status = context.fleet.json(host.operator, "GET", "/status")
+            assert status["config_version"] == version, status
--- /dev/null
+++ b/features/steps/fleet_losses_steps.py
@@ -0,0 +1,175 @@
+"""Steps of fleet/losses.feature."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from behave import then
+from behave import when
+
+from acaciasaddle.emulator import LoadRunner
+from acaciasaddle.emulator import SeenOutcome
+from acaciasaddle.emulator import Workload
+from acaciasaddle.emulator._workload import KeyDistribution
+from acaciasaddle.emulator._workload import LoadKind
+from support.fleet_session import LIMIT_S
+from support.fleet_session import Query
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from support.fleet_session import FleetSession
+    from support.fleet_session import Reply
+
+UPLOAD_PARTS = 20
+UPLOAD_PART = b"u" * 50_000
+UPLOAD_PAUSE_S = 0.1
+
+SETTLE_S = 1.0
+PAUSE_S = 2.0
+WORKLOAD = Workload(
+    kinds=(
+        LoadKind(
+            name="deposit",
+            method="POST",
+            path="/bookings/{key}/pay",
+            rate=60,
+            rank="urgent",
+            target_ms=8000,
+            once=True,
+            body_bytes=100,
+            # Less than the pause, so that callers repeat while a host is paused.
+            timeout_s=1.2,
+        ),
+        LoadKind(name="lookup", path="/bookings/{key}", rate=60, rank="urgent", target_ms=8000),
+    ),
+    duration_s=4.5,
+    keys=KeyDistribution(count=200),
+    repeats=12,
+    drain_s=LIMIT_S,
+)
+
+
+def slow_body() -> Iterator[bytes]:
+    """Yield a body over two seconds."""
+    for _ in range(UPLOAD_PARTS):
+        time.sleep(UPLOAD_PAUSE_S)
+        yield UPLOAD_PART
+
+
+def upload(key: str, address: str) -> Reply:
+    """Send a slow upload."""
+    length = {"Content-Length": str(UPLOAD_PARTS * len(UPLOAD_PART))}
+    query = Query(method="PUT", target=f"/roster/{key}/demo", body=slow_body(), headers=length)
+    return query.send(address)
+
+
+async def load(session: FleetSession, event: str) -> LoadRunner:
+    """Run the workload with an event after a second."""
+    fleet = session.fleet
+    addresses = [host.address for host in session.hosts]
+    runner = LoadRunner(workload=WORKLOAD, addresses=addresses)
+    subject = re.search('"(.*)"', event)
+    assert subject is not None
+    member = fleet.upstreams[subject[1]]
+    if event.startswith("the holder"):
+        member = fleet.hosts[await trio.to_thread.run_sync(session.holder, subject[1])]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(runner.run)
+        await trio.sleep(SETTLE_S)
+        if event.endswith("is killed"):
+            await fleet.kill_host(member.name)
+        else:
+            fleet.pause(member)
+            await trio.sleep(PAUSE_S)
+            fleet.resume(member)
+    return runner
+
+
+class FleetLossSteps:
+    """Guards the promises while processes end or are paused."""
+
+    @staticmethod
+    @when('the fleet\'s host that holds "{upstream}" gets SIGTERM during both uploads')
+    def stopped(context: Any, upstream: str) -> None:
+        session = context.fleet
+        host = session.fleet.hosts[session.holder(upstream)]
+        other = next(h for h in session.hosts if h is not host)
+        entering = session.key_held_by("roster", host.name, held=False)
+        dispatched = session.key_held_by("roster", host.name)
+        with ThreadPoolExecutor() as pool:
+            first = pool.submit(upload, entering, host.address)
+            second = pool.submit(upload, dispatched, other.address)
+            time.sleep(UPLOAD_PARTS * UPLOAD_PAUSE_S / 4)
+            context.exit_code = session.run(session.fleet.stop_host, host.name)
+            context.uploads = [(entering, first.result()), (dispatched, second.result())]
+        plan = next(plan for plan in session.fleet.plan.hosts if plan.host_id == host.name)
+        session.run(session.fleet.start_host, plan)
+        session.run(session.fleet.wait_served)
+
+    @staticmethod
+    @then("both of the fleet's uploads get whole answers and the host exits with 0")
+    def whole(context: Any) -> None:
+        digest = hashlib.sha256(UPLOAD_PART * UPLOAD_PARTS).hexdigest()
+        for key, answer in context.uploads:
+            assert (answer.status, answer.whole) == (200, True), answer
+            content = answer.content
+            assert (content["key"], content["body_sha256"]) == (key, digest), content
+        assert context.exit_code == 0, context.exit_code
+
+    @staticmethod
+    @when("the fleet is under load with repeats through other hosts and {event}")
+    def under_load(context: Any, event: str) -> None:
+        session = context.fleet
+        context.event = event
+        context.event_ms = time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+        context.runner = session.run(load, session, event)
+        session.callers += context.runner.records
+
+    @staticmethod
+    @then("every unit of the fleet is served again")
+    def served(context: Any) -> None:
+        session = context.fleet
+        session.wait_served()
+        for plan in session.fleet.plan.hosts:
+            if session.fleet.hosts[plan.host_id].killed_at is not None:
+                session.run(session.fleet.start_host, plan)
+        session.run(session.fleet.wait_served)
+
+    @staticmethod
+    @then("the fleet's callers had {seen}")
+    def callers(context: Any, seen: str) -> None:
+        records = context.runner.records
+        rows = {row.kind: row.outcomes for row in context.runner.results.rows()}
+        for kind, outcomes in rows.items():
+            assert not outcomes.get(SeenOutcome.FOREIGN), (kind, outcomes)
+            completed = outcomes.get(SeenOutcome.COMPLETED, 0)
+            assert completed > sum(outcomes.values()) / 2, (kind, outcomes)
+        print({kind: dict(outcomes) for kind, outcomes in rows.items()})
+        if seen == "repeats":
+            assert any(record.earlier for record in records), "no request was repeated"
+            return
+        name = re.search('"(.*)"', context.event)[1]  # type: ignore[index]
+        upstreams = context.fleet.run(context.fleet.fleet.records)
+        since = context.event_ms
+        lost = {
+            owned.unit
+            for record in upstreams
+            if record.name == name
+            for owned in record.owned
+            if owned.boot_from_ms < since < owned.boot_until_ms
+        }
+        taken = {
+            owned.unit
+            for record in upstreams
+            if record.name != name
+            for owned in record.owned
+            if owned.boot_from_ms > since
+        }
+        assert lost and lost <= taken, (lost, taken)
--- a/src/acaciasaddle/emulator/_fleet.py
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -122,7 +122,7 @@
         args.append("--checks-orders" if plan.checks_orders else "--obeys-anyone")
         self.upstreams[plan.id] = await self._start_listening(plan.id, args)
 
-    async def start_host(self, plan: HostPlan) -> None:
+    async def start_host(self, plan: HostPlan, seeds: tuple[str, ...] = ()) -> None:
         """Start one entry host on new addresses."""
         assert self.platform is not None
         caller, peer, operator = (f"127.0.0.1:{free_port()}" for _ in range(3))
@@ -133,7 +133,7 @@
             "peer_address": peer,
             "operator_address": operator,
             "platform_address": self.platform.address,
-            "seeds": [],
+            "seeds": list(seeds),
         }
         path = self.directory / f"{plan.host_id}.json"
         path.write_text(json.dumps(settings))
