Remove unused fields of dispatch

Cause: request_id of Waiting and three properties had no user.

Change: removed.

Conclusion: no change in behaviour.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -232,7 +232,6 @@
     async def serve(arrival: Arrival) -> None:
         now = clock.now()
         item = Waiting(
-            request_id="",
             unit=unit,
             kind=arrival.work.kind.name,
             rank=arrival.rank,
--- a/src/acaciasaddle/dispatch/_connections.py
+++ b/src/acaciasaddle/dispatch/_connections.py
@@ -54,11 +54,6 @@
         self._idle: list[Connection] = []
         self._open = 0
 
-    @property
-    def open(self) -> int:
-        """Number of open connections, idle ones included."""
-        return self._open
-
     async def acquire(
         self, address: str, *, limit: int, recent_only: bool, new_only: bool, timeout: float
     ) -> Connection:
--- a/src/acaciasaddle/dispatch/_queue.py
+++ b/src/acaciasaddle/dispatch/_queue.py
@@ -91,11 +91,6 @@
         """Number of waiting requests."""
         return len(self._policy) + sum(len(items) for items in self._held.values())
 
-    @property
-    def running(self) -> int:
-        """Number of requests in progress."""
-        return len(self._running)
-
     def expected(self, kind: str) -> float:
         """Return the observed service time of a kind in seconds, 0 if unknown."""
         return self._times.expected(kind)
--- a/src/acaciasaddle/dispatch/_replication.py
+++ b/src/acaciasaddle/dispatch/_replication.py
@@ -56,11 +56,6 @@
         self._pending: dict[RecordKey, Copy] = {}
         self._wake = trio.Event()
 
-    @property
-    def pending(self) -> int:
-        """Number of records that wait to be copied."""
-        return len(self._pending)
-
     def put(self, record: OnceRecord, *, urgent: bool) -> Copy:
         """Have a record copied; a newer one replaces an older one of the same request."""
         key = (record.unit.service, record.caller, record.idempotency_key)
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -152,7 +152,6 @@
     async def _get_slot(self, job: Job) -> None:
         req = job.req
         item = Waiting(
-            request_id=req.request_id,
             unit=req.unit,
             kind=req.kind,
             rank=job.rank,
--- a/src/acaciasaddle/dispatch/_waiting.py
+++ b/src/acaciasaddle/dispatch/_waiting.py
@@ -29,7 +29,6 @@
     that it will probably take, 0 if nothing is known.
     """
 
-    request_id: str
     unit: UnitId
     kind: str
     rank: int
