--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -221,7 +221,9 @@
 
 def upstream_row() -> Row:
     """Return a row that names the holder of an upstream."""
-    row = UpstreamRow(holder="entry-07@5c1d2a90", successor="entry-11@0d99ab31", term=41)
+    row = UpstreamRow(
+        holder="entry-07@5c1d2a90", successor="entry-11@0d99ab31", term=41, health="ready"
+    )
     return Row(
         key="upstream/bookings/u-07", version=41, revision=90_210, value=row.to_json("w" * 36)
     )
@@ -230,7 +232,13 @@
 def units_row() -> Row:
     """Return a row with 64 shards."""
     units = {
-        shard: UnitAssignment(owner=f"bookings/u-{shard % 30:02}", previous="", epoch=3)
+        shard: UnitAssignment(
+            owner=f"bookings/u-{shard % 30:02}",
+            previous="",
+            epoch=3,
+            since=1_790_000_000,
+            reason="first",
+        )
         for shard in range(64)
     }
     value = UnitsRow(shards=256, units=units).to_json("w" * 36)
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -20,14 +20,17 @@
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
 from acaciasaddle.ownership._limits import HOLDER_SUSPECT_S
 from acaciasaddle.ownership._limits import LEASE_S
+from acaciasaddle.ownership._limits import REPLACED_STOPS_S
 from acaciasaddle.ownership._limits import at_most
 from acaciasaddle.ownership._rendezvous import rendezvous_owner
+from acaciasaddle.wire import AskLoad
 from acaciasaddle.wire import AskRelease
 from acaciasaddle.wire import Done
 from acaciasaddle.wire import Failed
 from acaciasaddle.wire import Handover
 from acaciasaddle.wire import KeepRecords
 from acaciasaddle.wire import KeepRows
+from acaciasaddle.wire import Loads
 from acaciasaddle.wire import Release
 from acaciasaddle.wire import RowsSince
 from acaciasaddle.wire import TakenOver
@@ -58,7 +61,7 @@
     def __init__(self, *, ctx: Context, router: MirrorRouter) -> None:
         self._ctx = ctx
         self._router = router
-        self._held: dict[UpstreamId, HeldUpstream] = {}
+        self._held = ctx.held
         self._watched: set[UpstreamId] = set()
         self._memory_since: dict[UpstreamId, float] = {}
         self._handed: dict[UpstreamId, int] = {}
@@ -74,6 +77,7 @@
         hub.on_call(AskRelease, self._on_ask_release)
         hub.on_call(Handover, self._on_handover)
         hub.on_call(TakenOver, self._on_taken_over)
+        hub.on_call(AskLoad, self._on_ask_load)
 
     @property
     def held(self) -> dict[UpstreamId, HeldUpstream]:
@@ -268,13 +272,20 @@
             stopped_at = max(self._ctx.hub.answered_at(row.holder), since) + at_most(AUTHORITY_S)
             if handed or self._ctx.clock.now() > stopped_at:
                 reason = "handed over" if handed else f"{row.holder} is silent"
-                await self._take_over(info, row, stopped_at, reason, handed=handed)
+                await self._take_over(info, row, stopped_at, since, reason, handed=handed)
                 return
             with trio.move_on_after(max(stopped_at - self._ctx.clock.now(), STAND_BY_STEP_S)):
                 await woken.wait()
 
     async def _take_over(
-        self, info: UpstreamInfo, row: UpstreamRow, stopped_at: float, reason: str, *, handed: bool
+        self,
+        info: UpstreamInfo,
+        row: UpstreamRow,
+        stopped_at: float,
+        known_since: float,
+        reason: str,
+        *,
+        handed: bool,
     ) -> None:
         log.info("takeover", upstream=str(info.id), holder=row.holder, reason=reason)
         self._ctx.metrics.count("authority.takeovers")
@@ -290,6 +301,7 @@
             row_written=False,
             lapsed_after=stopped_at + at_most(LEASE_S),
             memory_since=self._memory_since.get(info.id, self._ctx.clock.wall()),
+            replaced_until=known_since + REPLACED_STOPS_S,
             ctx=self._ctx,
         )
         self._router.announce(info.id, term=held.term, member=self._ctx.member)
@@ -461,6 +473,13 @@
         self._handover = trio.Event()
         return Done()
 
+    async def _on_ask_load(self, member: str, call: Call) -> Reply:
+        assert isinstance(call, AskLoad)
+        loads = [self._ctx.local_load(upstream) for upstream in call.upstreams]
+        return Loads(
+            busy_permille=tuple(-1 if load is None else int(load * 1000) for load in loads)
+        )
+
     async def _on_taken_over(self, member: str, call: Call) -> Reply:
         assert isinstance(call, TakenOver)
         for upstream, term in zip(call.upstreams, call.terms, strict=True):
