Test that requests of an upstream that is given up are routed again

Cause: given_up came without a scenario of dispatch.

Change: one more example in moves.feature.

Conclusion: no change in code.

--- a/features/dispatch/moves.feature
+++ b/features/dispatch/moves.feature
@@ -11,6 +11,7 @@
       | resumed  | 200 complete | 3     |
       | rejected | not owner    | 0     |
       | lost     | not owner    | 0     |
+      | given up | not owner    | 0     |
       | kept     | 504 not-run  | 0     |
 
   Scenario: dispatch holds requests that are queued already
--- a/features/steps/dispatch_moves_steps.py
+++ b/features/steps/dispatch_moves_steps.py
@@ -41,6 +41,8 @@
                 world.authority.rejected_units.add(UNIT)
             if end == "rejected":
                 dispatcher.reject(UNIT)
+            elif end == "given up":
+                dispatcher.given_up(UPSTREAM)
             elif end != "kept":
                 dispatcher.resume(UNIT)
             for reply in plan.replies:
