Call no request not run after an attempt that may have run

Cause: an idempotent request whose first attempt may have run (connection lost after it was sent, or upstream lost while it ran) was refused as not run if a later attempt was refused or none could be made in time. Change: the ingress remembers such attempts. For work that runs once the holder's records settle the question, so its refusal stands.

--- a/src/acaciasaddle/entry/_ingress.py
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -45,6 +45,8 @@
 REROUTE_PAUSE_S = 0.01
 REROUTE_MAX_PAUSE_S = 0.05
 OWN_HEADERS = "acaciasaddle-"
+# Step of the dispatcher's error for a request whose upstream was lost while it ran.
+LOST_STEP = "dispatch.lost"
 
 log = get_logger("route")
 
@@ -163,10 +165,11 @@
         deadline = self._clock.now() + req.budget_ms / 1000
         pause = REROUTE_PAUSE_S
         last: AcaciasaddleError | None = None
+        may_have_run = False
         for attempt in range(1, 1_000_000):
             left = deadline - self._clock.now()
             if left <= 0:
-                raise self._too_late(last)
+                raise self._unknown(last) if may_have_run else self._too_late(last)
             try:
                 route = self._router.route(service=req.service, key=req.key)
                 self._check_access(cfg, req, route)
@@ -180,8 +183,10 @@
                 await self._attempt(req, route, attempt, body, reply)
                 return
             except NotOwnerError as exc:
+                may_have_run = may_have_run or exc.step == LOST_STEP
                 last = exc
             except PeerUnreachableError as exc:
+                may_have_run = may_have_run or exc.sent
                 # The holder and its successor share the records of work that must run once, so
                 # sending it again there cannot run it twice.
                 if exc.sent and not (idempotent or req.once):
@@ -189,6 +194,9 @@
                 last = exc
             except RefusedError as exc:
                 if exc.step != "route":
+                    # The records of once work settle what became of an earlier attempt.
+                    if may_have_run and not req.once and exc.outcome is Outcome.NOT_RUN:
+                        raise self._unknown(exc) from exc
                     raise
                 last = exc
             if reply.started:
