Measure the entry path and profile entry hosts

Cause: no figure showed what a request costs at the ingress and at the holder, nor what an idle entry host spends on control.

--- /dev/null
+++ b/benchmarks/_entry_process.py
@@ -0,0 +1,71 @@
+"""Runs an entry host that counts its bytes or profiles itself; started by other benchmarks.
+
+Usage: ``python benchmarks/_entry_process.py SETTINGS REPORT [profile]``. After SIGUSR1 a JSON
+object with the bytes of all TCP streams so far is written to REPORT. With ``profile``, the first
+SIGUSR1 starts cProfile and the next one writes its statistics to REPORT.
+"""
+
+from __future__ import annotations
+
+import cProfile
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from acaciasaddle.config import load_settings
+from acaciasaddle.entry import run_entry_host
+
+counts = {"sent": 0, "received": 0}
+
+
+def count_bytes() -> None:
+    """Count the bytes of all TCP streams of this process."""
+    send_all, receive_some = trio.SocketStream.send_all, trio.SocketStream.receive_some
+
+    async def counted_send(self: trio.SocketStream, data: bytes) -> None:
+        counts["sent"] += len(data)
+        await send_all(self, data)
+
+    async def counted_receive(self: trio.SocketStream, max_bytes: int | None = None) -> Any:
+        data = await receive_some(self, max_bytes)
+        counts["received"] += len(data)
+        return data
+
+    trio.SocketStream.send_all = counted_send  # type: ignore[assignment]
+    trio.SocketStream.receive_some = counted_receive  # type: ignore[assignment]
+
+
+def main() -> None:
+    """Run the entry host."""
+    report = Path(sys.argv[2])
+    profile = cProfile.Profile() if sys.argv[3:] == ["profile"] else None
+    running = False
+
+    def write_counts(*_: object) -> None:
+        part = report.with_suffix(".part")
+        part.write_text(json.dumps(counts))
+        os.replace(part, report)
+
+    def switch_profile(*_: object) -> None:
+        nonlocal running
+        assert profile is not None
+        if running:
+            profile.disable()
+            profile.dump_stats(report)
+        else:
+            profile.enable()
+        running = True
+
+    if profile is None:
+        count_bytes()
+    signal.signal(signal.SIGUSR1, write_counts if profile is None else switch_profile)
+    run_entry_host(load_settings(sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
