--- a/src/acaciasaddle/ownership/_router.py
+++ b/src/acaciasaddle/ownership/_router.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from acaciasaddle.config import group_of
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.model import UnitId
@@ -51,7 +50,7 @@
 
     def unit_of(self, cfg: Configuration, service: str, key: str) -> UnitId:
         """Return the unit of a key: its pin if it has one, else its shard."""
-        group = group_of(cfg.rules, service, key)
+        group = cfg.classifier.group_of(service, key)
         pins = self._mirror.pins_row(service)
         if pins is not None and f"{group}/{key}" in pins.units:
             return UnitId.pin(service, group, key)
