--- a/benchmarks/entry_profile.py
+++ b/benchmarks/entry_profile.py
@@ -21,7 +21,7 @@
 from acaciasaddle.observe import configure_logs
 
 
-async def profile(way: str, seconds: float, lines: int, sort: str) -> None:
+async def profile(way: str, seconds: float, lines: int, sort: str, only: str) -> None:
     """Profile both hosts of a small deployment, or one of an idle large one."""
     plan = utility_plan() if way == "idle" else two_hosts()
     async with started(plan, mode="profile") as fleet:
@@ -40,7 +40,7 @@
             await trio.sleep(0.5)
             print(f"== {host}, {done} requests, {seconds} s")
             stats = pstats.Stats(str(fleet.report(host)))
-            stats.sort_stats(sort).print_stats(lines)
+            stats.sort_stats(sort).print_stats(*([only] if only else []), lines)
 
 
 @click.command()
@@ -48,10 +48,11 @@
 @click.option("--seconds", default=4.0, show_default=True)
 @click.option("--lines", default=45, show_default=True)
 @click.option("--sort", type=click.Choice(["tottime", "cumtime"]), default="tottime")
-def main(way: str, seconds: float, lines: int, sort: str) -> None:
+@click.option("--only", default="", help="Regular expression of functions to print.")
+def main(way: str, seconds: float, lines: int, sort: str, only: str) -> None:
     """Profile entry hosts."""
     configure_logs(level="warning")
-    trio.run(profile, way, seconds, lines, sort)
+    trio.run(profile, way, seconds, lines, sort, only)
 
 
 if __name__ == "__main__":
