Compare two versions of entry hosts in one deployment

Cause: processor time per request of one version varies by 30% between runs on the shared machine, more than most changes bring.

Conclusion: changes below about 5% cannot be told from noise here.

--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -64,6 +64,9 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 PLACE = "tshwane-north"
+BASE_HOSTS = frozenset(f"entry-{index:02}" for index in (0, 1, 2, 3, 8, 9))
+"""Hosts that run the version compared with: one or two of the three in each data centre."""
+
 KEYS = 60
 CONNECTIONS = 16
 LATENCY_CALLS = 400
@@ -100,12 +103,15 @@
     """A fleet whose entry hosts count their bytes or profile themselves."""
 
     mode: str = ""
+    base: Path | None = None
 
     async def _open(self, name: str, command: list[str], **options: Any) -> trio.Process:
         if self.mode and command[1:4] == ["-m", "acaciasaddle", "run"]:
             report = str(self.report(name))
             command = [sys.executable, str(ENTRY_PROCESS), command[4], report]
             command += ["profile"] if self.mode == "profile" else []
+        if self.base is not None and name in BASE_HOSTS:
+            command = ["/usr/bin/env", f"PYTHONPATH={self.base}", *command]
         return await super()._open(name, command, **options)
 
     def report(self, host: str) -> Path:
@@ -121,11 +127,13 @@
 
 
 @asynccontextmanager
-async def started(plan: FleetPlan, mode: str = "") -> AsyncIterator[BenchFleet]:
+async def started(
+    plan: FleetPlan, mode: str = "", base: Path | None = None
+) -> AsyncIterator[BenchFleet]:
     """Start a fleet with its configuration in force and all units served."""
     with tempfile.TemporaryDirectory() as directory:
         fleet = BenchFleet(plan=plan, directory=Path(directory))
-        fleet.mode = mode
+        fleet.mode, fleet.base = mode, base
         try:
             await fleet.start()
             await fleet.wait_in_force(await fleet.apply())
@@ -153,7 +161,7 @@
         ),
         hosts=(
             HostPlan(host_id="entry-00", data_centre=PLACE),
-            HostPlan(host_id="entry-01", data_centre=PLACE),
+            HostPlan(host_id="entry-04", data_centre=PLACE),
         ),
         rules={**UTILITY_RULES, "kinds": UTILITY_RULES["kinds"][:3]},
     )
@@ -216,9 +224,9 @@
     hop: list[Call] = field(default_factory=list)
 
 
-async def find_paths(fleet: BenchFleet) -> Ways:
-    """Return calls for keys that ``entry-00`` (local) and ``entry-01`` (hop) hold."""
-    ingress, holder = fleet.hosts["entry-00"], fleet.hosts["entry-01"]
+async def find_paths(fleet: BenchFleet, at: str = "entry-00", other: str = "entry-04") -> Ways:
+    """Return calls to host ``at`` for keys that it holds (local) and that ``other`` does (hop)."""
+    ingress, holder = fleet.hosts[at], fleet.hosts[other]
     paths = Ways(ingress=ingress.name, holder=holder.name)
     for index in range(KEYS):
         key = f"venue-{index}"
@@ -234,7 +242,7 @@
         )
         address = fleet.upstreams[where["owner"]].address
         paths.direct.append(Call(address, f"{line}{plain}{order}\r\n".encode()))
-        held_here = where["holder"].startswith("entry-00")
+        held_here = where["holder"].startswith(f"{at}@")
         calls = paths.local if held_here else paths.hop
         calls.append(Call(ingress.address, f"{line}{plain}\r\n".encode()))
     return paths
@@ -350,9 +358,9 @@
         return result
 
 
-async def measure_idle(seconds: float) -> dict[str, Any]:
+async def measure_idle(seconds: float, base: Path | None = None) -> dict[str, Any]:
     """Measure control of an idle deployment of 12 hosts and 38 upstreams."""
-    async with started(utility_plan(), mode="count") as fleet:
+    async with started(utility_plan(), mode="count", base=base) as fleet:
         status = [await request_json(h.operator, "GET", "/status") for h in fleet.hosts.values()]
         upstreams = status[0][1]["upstreams"]
         hosts = list(fleet.hosts)
@@ -384,6 +392,45 @@
     return {"typical": typical, "mean": mean, "hosts": found}
 
 
+def print_idle_comparison(hosts: list[dict[str, Any]]) -> None:
+    """Print the cost of idle hosts of two versions."""
+    for version in ("before", "after"):
+        own = [h for h in hosts if (h["host"] in BASE_HOSTS) == (version == "before")]
+        held = sum(h["holds"] for h in own)
+        print(
+            f"idle {version}: {len(own)} hosts, {held} upstreams held,",
+            f"{sum(h['stands_by'] for h in own)} stood by for;",
+            f"{sum(h['core_percent'] for h in own) / held:.2f}% of a core and",
+            f"{sum(h['bytes_per_s'] for h in own) / held:.0f} bytes/s per held upstream;",
+            f"{statistics.fmean(h['core_percent'] for h in own):.2f}% of a core per host",
+        )
+
+
+async def compare(base: Path, slices: int) -> None:
+    """Print the ingress cost of two versions, one per host, loaded in turns of a second."""
+    async with started(two_hosts(), base=base) as fleet:
+        names = ("entry-00", "entry-04")
+        paths = {
+            "base": await find_paths(fleet, *names),
+            "new": await find_paths(fleet, *reversed(names)),
+        }
+        for way in ("local", "hop"):
+            found: dict[str, list[float]] = {"base": [], "new": []}
+            for _ in range(slices):
+                for version, ways in paths.items():
+                    pid = fleet.hosts[ways.ingress].process.pid
+                    calls = ways.local if way == "local" else ways.hop
+                    before = processor_seconds(pid)
+                    done = await closed_loop(calls, 1.0, CONNECTIONS)
+                    found[version].append((processor_seconds(pid) - before) / done * 1e6)
+            old, new = (statistics.median(found[version]) for version in ("base", "new"))
+            print(
+                f"{way}: ingress {old:.0f} us before, {new:.0f} us after, {new / old - 1:+.1%}",
+                {version: [round(us) for us in values] for version, values in found.items()},
+                flush=True,
+            )
+
+
 async def _bytes(fleet: BenchFleet) -> dict[str, int]:
     totals = {}
     for name in fleet.hosts:
@@ -541,7 +588,7 @@
         ]
         for name in ("local", "hop"):
             lat, way = req["latency"][name], req[name]
-            ingress, holder = way["entry-00_us"], way["entry-01_us"] if name == "hop" else 0.0
+            ingress, holder = way["entry-00_us"], way["entry-04_us"] if name == "hop" else 0.0
             lines.append(
                 f"| {name} | {lat['p50_ms']:.2f} | {lat['p99_ms']:.2f} "
                 f"| {lat['p50_ms'] - direct['p50_ms']:.2f} "
@@ -563,7 +610,7 @@
             ]
         total = {
             "local": req["local"]["entry-00_us"],
-            "hop": req["hop"]["entry-00_us"] + req["hop"]["entry-01_us"],
+            "hop": req["hop"]["entry-00_us"] + req["hop"]["entry-04_us"],
         }
         lines += [
             "",
@@ -601,13 +648,27 @@
 @click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write JSON here.")
 @click.option("--seconds", default=4.0, show_default=True, help="Time of each request load.")
 @click.option("--idle-seconds", default=10.0, show_default=True, help="Time of the idle load.")
+@click.option("--base", type=click.Path(path_type=Path), help="Compare with another src directory.")
+@click.option("--slices", default=7, show_default=True, help="Turns of the comparison.")
 @click.option("--quick", is_flag=True, help="Only the processor time of requests.")
 @click.option("--only", type=click.Choice(["requests", "decisions", "idle"]), help="One part.")
 def main(
-    json_path: Path | None, seconds: float, idle_seconds: float, quick: bool, only: str | None
+    json_path: Path | None,
+    seconds: float,
+    idle_seconds: float,
+    base: Path | None,
+    slices: int,
+    quick: bool,
+    only: str | None,
 ) -> None:
     """Measure the entry path."""
     configure_logs(level="warning")
+    if base is not None:
+        if only in (None, "requests"):
+            trio.run(compare, base, slices)
+        if only in (None, "idle"):
+            print_idle_comparison(trio.run(measure_idle, idle_seconds, base)["hosts"])
+        return
     found: dict[str, Any] = {}
     if only in (None, "decisions"):
         found["decisions"] = {
--- a/benchmarks/entry_profile.py
+++ b/benchmarks/entry_profile.py
@@ -25,7 +25,7 @@
     """Profile both hosts of a small deployment, or one of an idle large one."""
     plan = utility_plan() if way == "idle" else two_hosts()
     async with started(plan, mode="profile") as fleet:
-        hosts = ["entry-00"] if way == "local" else ["entry-00", "entry-01"]
+        hosts = ["entry-00"] if way == "local" else ["entry-00", "entry-04"]
         paths = None if way == "idle" else await find_paths(fleet)
         done = 0
         for host in hosts:
