--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -415,20 +415,27 @@
             "new": await find_paths(fleet, *reversed(names)),
         }
         for way in ("local", "hop"):
-            found: dict[str, list[float]] = {"base": [], "new": []}
+            ingress: dict[str, list[float]] = {"base": [], "new": []}
+            holder: dict[str, list[float]] = {"base": [], "new": []}
             for _ in range(slices):
-                for version, ways in paths.items():
-                    pid = fleet.hosts[ways.ingress].process.pid
+                for version, other in (("base", "new"), ("new", "base")):
+                    ways = paths[version]
+                    pids = [fleet.hosts[name].process.pid for name in (ways.ingress, ways.holder)]
+                    before = [processor_seconds(pid) for pid in pids]
                     calls = ways.local if way == "local" else ways.hop
-                    before = processor_seconds(pid)
                     done = await closed_loop(calls, 1.0, CONNECTIONS)
-                    found[version].append((processor_seconds(pid) - before) / done * 1e6)
-            old, new = (statistics.median(found[version]) for version in ("base", "new"))
-            print(
-                f"{way}: ingress {old:.0f} us before, {new:.0f} us after, {new / old - 1:+.1%}",
-                {version: [round(us) for us in values] for version, values in found.items()},
-                flush=True,
-            )
+                    used = [processor_seconds(pid) for pid in pids]
+                    ingress[version].append((used[0] - before[0]) / done * 1e6)
+                    holder[other].append((used[1] - before[1]) / done * 1e6)
+            for part, found in (("ingress", ingress), ("holder", holder)):
+                if way == "local" and part == "holder":
+                    continue
+                old, new = (statistics.median(found[version]) for version in ("base", "new"))
+                print(
+                    f"{way}: {part} {old:.0f} us before, {new:.0f} us after, {new / old - 1:+.1%}",
+                    {version: [round(us) for us in values] for version, values in found.items()},
+                    flush=True,
+                )
 
 
 async def _bytes(fleet: BenchFleet) -> dict[str, int]:
