--- a/src/acaciasaddle/peers/_queue.py
+++ b/src/acaciasaddle/peers/_queue.py
@@ -132,9 +132,6 @@
                 break
             self._flushed.unpark_all()
             await self._ready.park()
-            # Head, data and end of a small answer are queued one soon after the other; a write
-            # for each costs more than the pass through the scheduler.
-            await trio.lowlevel.checkpoint()
         for frame in taken:
             frame.written = True
         self._writing = True
