--- a/features/fleet/commands.feature
+++ b/features/fleet/commands.feature
@@ -23,6 +23,7 @@
       | explain request {host} {request}                                 | 0    | status 200                        |
       | explain request {host} entry-9-0                                 | 1    | not known here                    |
       | run {broken}                                                     | 2    | host_id                           |
+      | run {settings}                                                   | 1    | Address already in use            |
     Then the fleet's upstream "bookings/bookings-03" is drained and every unit is served
 
   Scenario: a change whose answer is lost is accepted exactly once
--- a/src/acaciasaddle/cli/_apply.py
+++ b/src/acaciasaddle/cli/_apply.py
@@ -42,7 +42,7 @@
 ) -> None:
     """Apply a change and show its progress host by host.
 
-    A change is in force once its version is accepted, whether or not the command waits.
+    Once accepted, a change comes into force on all hosts, whether or not the command waits.
     """
     change = read_change(
         inventory_path=inventory_path,
--- a/src/acaciasaddle/cli/_explain.py
+++ b/src/acaciasaddle/cli/_explain.py
@@ -36,7 +36,7 @@
 @explain.command(
     "request",
     epilog="Example: acaciasaddle explain request --host 127.0.0.1:9000 "
-    "0193b4e6-8f0a-7c3e-9d55-6f2f1c1f6a10",
+    "entry-01-0f8c2d4e6a1b4c3d8e5f7a9b0c1d2e3f",
 )
 @host_option
 @click.argument("request_id")
@@ -45,7 +45,10 @@
 def explain_request(
     ctx: click.Context, hosts: tuple[str, ...], request_id: str, as_json: bool
 ) -> None:
-    """Show what became of the request REQUEST_ID, as far as the host knows."""
+    """Show the steps of the request REQUEST_ID.
+
+    Only the host where it entered knows them; REQUEST_ID begins with the id of that host.
+    """
     _show(client(ctx, hosts).explain_request(request_id), as_json=as_json)
 
 
--- a/src/acaciasaddle/cli/_run.py
+++ b/src/acaciasaddle/cli/_run.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import click
 
 from acaciasaddle.cli._common import ExitCode
 from acaciasaddle.cli._common import json_option
 from acaciasaddle.config import load_settings
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 @click.command(epilog="Example: acaciasaddle run /etc/acaciasaddle/host.json")
 @click.argument("settings_path", metavar="SETTINGS", type=click.Path())
@@ -22,8 +27,25 @@
     # Imported here, since the other subcommands do not need the server's libraries.
     from acaciasaddle.entry import run_entry_host
 
+    failed = False
     try:
         run_entry_host(settings)
-    except OSError as exc:
-        click.echo(f"Error: {exc}", err=True)
+    except* OSError as group:
+        failed = True
+        for exc in _leaves(group):
+            click.echo(
+                f"Error: {exc} (run, callers {settings.caller_address}, "
+                f"peers {settings.peer_address}, operator {settings.operator_address})",
+                err=True,
+            )
+    if failed:
         ctx.exit(ExitCode.FAILED)
+
+
+def _leaves(group: BaseExceptionGroup[OSError]) -> Iterator[BaseException]:
+    """Yield the single errors of a nested group."""
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from _leaves(exc)
+        else:
+            yield exc
