Pace orders and rerouting so that trouble does not multiply

Cause: a holder whose authority had ended, or whose upstream did not take over the wanted units at once, repeated its check without a pause and kept a core busy, so that its heartbeats were late and authority ended elsewhere too. Waiting requests were routed again every 50 ms. Ruled out: repeated releases and connections, by counting log lines. Change: orders have a pause of at least 2 ms and are repeated after 20 ms while the upstream is behind; waiting requests look again when a row changes, and at least every 200 ms.

--- a/features/steps/entry_ingress_steps.py
+++ b/features/steps/entry_ingress_steps.py
@@ -97,7 +97,9 @@
         settings: Any = SimpleNamespace(
             host_id="a", max_body_bytes=1000, body_stall_timeout_s=5.0, max_header_bytes=1000
         )
-        mirror: Any = SimpleNamespace(configuration=cfg, complete=True)
+        mirror: Any = SimpleNamespace(
+            configuration=cfg, complete=True, wait_changed=trio.sleep_forever
+        )
         ingress = Ingress(
             member="a@1",
             settings=settings,
--- a/src/acaciasaddle/entry/_ingress.py
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -43,7 +43,8 @@
     from acaciasaddle.peers import PeerHub
 
 REROUTE_PAUSE_S = 0.01
-REROUTE_MAX_PAUSE_S = 0.05
+# Waiting requests look again when a row changes, and at least this often.
+REROUTE_MAX_PAUSE_S = 0.2
 OWN_HEADERS = "acaciasaddle-"
 # Step of the dispatcher's error for a request whose upstream was lost while it ran.
 LOST_STEP = "dispatch.lost"
@@ -209,7 +210,9 @@
                 )
             if not body.rewind():
                 raise self._unknown(last)
-            await trio.sleep(min(pause, max(deadline - self._clock.now(), 0)))
+            await trio.sleep(min(REROUTE_PAUSE_S, max(deadline - self._clock.now(), 0)))
+            with trio.move_on_after(min(pause, max(deadline - self._clock.now(), 0))):
+                await self._mirror.wait_changed()
             pause = min(pause * 2, REROUTE_MAX_PAUSE_S)
 
     async def _attempt(
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -49,6 +49,10 @@
 
 NEVER = float("-inf")
 SUCCESSOR_CHECK_S = 0.04
+# An upstream that does not take over the wanted units at once, such as a busy one, is asked again
+# soon. Without a pause, orders of one host could keep a core busy.
+ORDER_RETRY_S = 0.02
+MIN_ORDER_PAUSE_S = 0.002
 REPLICATE_RETRY_S = 0.02
 REPLICATE_LIMIT_S = 1.0
 CLOSING_LIMIT_S = 0.3
@@ -248,18 +252,19 @@
     async def _renew(self) -> None:
         while True:
             started = self._ctx.clock.now()
+            self._wake = trio.Event()
             self._adopt_term()
-            if self.in_authority():
+            ordered = self.in_authority()
+            if ordered:
                 await self._order()
             if self.lost() and not self._was_lost:
                 log.warning("upstream is lost", upstream=str(self.id), term=self.term)
                 self._ctx.dispatcher.upstream_lost(self.id)
             self._was_lost = self.lost()
-            self._wake = trio.Event()
-            if self.moves.wanted() != self.granted and self.reachable:
-                self._wake.set()
-            pause = started + RENEW_INTERVAL_S - self._ctx.clock.now()
-            with trio.move_on_after(max(pause, 0.005)):
+            behind = ordered and self.reachable and self.moves.wanted() != self.granted
+            interval = ORDER_RETRY_S if behind else RENEW_INTERVAL_S
+            await trio.sleep(MIN_ORDER_PAUSE_S)
+            with trio.move_on_after(max(started + interval - self._ctx.clock.now(), 0)):
                 await self._wake.wait()
 
     def _adopt_term(self) -> None:
