Serve a host's calls to itself in one place

Change: the way within the limit stays, which also turns any error of the handler into a failed reply, as for calls of peers.

Conclusion: calls to itself and to peers fail alike.

--- a/src/acaciasaddle/peers/_hub.py
+++ b/src/acaciasaddle/peers/_hub.py
@@ -33,7 +33,6 @@
 from acaciasaddle.peers._state import HubState
 from acaciasaddle.peers._transport import connect_tcp
 from acaciasaddle.peers._transport import listen_tcp
-from acaciasaddle.wire import Failed
 from acaciasaddle.wire import FrameStream
 from acaciasaddle.wire import Hello
 from acaciasaddle.wire import Leaving
@@ -225,8 +224,6 @@
         self._state.rows_handler = handler
 
     async def call(self, member: str, call: Call, *, timeout: float) -> Reply:
-        if member == self._state.member:
-            return await self._call_self(call)
         pending = PendingCall(since=self._state.clock.now())
         with trio.move_on_after(timeout):
             if member == self._state.member:
@@ -241,16 +238,6 @@
             peer=member,
         )
 
-    async def _call_self(self, call: Call) -> Reply:
-        """Serve a call of this host to itself, as between two upstreams that it holds."""
-        handler = self._state.call_handlers.get(type(call))
-        if handler is None:
-            return Failed(reason=f"{type(call).__name__} is not served here", step="peer.call")
-        try:
-            return await handler(self._state.member, call)
-        except AcaciasaddleError as exc:
-            return Failed(reason=exc.message, step=exc.step)
-
     async def work(self, member: str, req: WorkRequest, body: BodySource, reply: ReplySink) -> None:
         conn = await self._connection(member, step="peer.work")
         await conn.work(req, body, reply)
