Send an order to an upstream in one write

Cause: httpcore writes head and body separately, so each of the 23 renewals a second of an idle host cost two system calls here and two reads at the upstream.

Change: the control connection holds what is written until the answer is read.

--- a/src/acaciasaddle/ownership/_control.py
+++ b/src/acaciasaddle/ownership/_control.py
@@ -33,6 +33,34 @@
     state: str
 
 
+class GatheredWrites(httpcore.AsyncNetworkStream):
+    """Holds what is written until the answer is read.
+
+    httpcore writes head and body of a request separately. Orders are small, and one write for
+    both halves the system calls of the sender and of the upstream.
+    """
+
+    def __init__(self, *, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._held = bytearray()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        if self._held:
+            data = bytes(self._held)
+            self._held.clear()
+            await self._stream.write(data, timeout)
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self._held += buffer
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
 class UpstreamControl:
     """Sends orders over one connection that is replaced after any failure."""
 
@@ -123,7 +151,9 @@
     async def _connect(self) -> httpcore.AsyncHTTP11Connection:
         host = self._origin.host.decode()
         stream = await self._backend.connect_tcp(host, self._origin.port, timeout=self._timeout)
-        self._conn = httpcore.AsyncHTTP11Connection(origin=self._origin, stream=stream)
+        self._conn = httpcore.AsyncHTTP11Connection(
+            origin=self._origin, stream=GatheredWrites(stream=stream)
+        )
         return self._conn
 
     def _error(self, message: str) -> UpstreamError:
