Share equal texts of unit assignments in the mirror

Cause: every unit kept a copy of its owner's name and of the reason, since they come from JSON.

Change: the mirror interns these texts when it takes a row.

--- a/src/acaciasaddle/mirror/_mirror.py
+++ b/src/acaciasaddle/mirror/_mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
@@ -148,6 +149,7 @@
             if row.key == CONFIG_KEY:
                 self._take_configuration(row, source)
             elif row.key.startswith(("units/", "pins/")):
+                _share_texts(row)
                 self.owners.replace(row.key, self._units_of(row.key))
         if newer:
             self.serial += 1
@@ -249,3 +251,13 @@
             raise AcaciasaddleError(f"row is malformed: {exc}", step="mirror", peer=key) from exc
         self._parsed[key] = (row.version, parsed)
         return parsed
+
+
+def _share_texts(row: Row) -> None:
+    """Have equal owners and reasons of units share memory: JSON yields a copy for each unit."""
+    units = row.value.get("units")
+    if not isinstance(units, dict):
+        return
+    for fields in units.values():
+        if isinstance(fields, list):
+            fields[:] = [sys.intern(item) if type(item) is str else item for item in fields]
