--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -22,6 +22,7 @@
 from typing import Any
 
 import trio
+from trio._core import _run as trio_run
 from trio.testing import MockClock
 
 from acaciasaddle.clock import TrioClock
@@ -231,7 +232,6 @@
     async def serve(arrival: Arrival) -> None:
         now = clock.now()
         item = Waiting(
-            request_id="",
             unit=unit,
             kind=arrival.work.kind.name,
             rank=arrival.rank,
@@ -337,6 +337,9 @@
     """Run one scenario under one way and return its requests."""
     found = arrivals(service, scenario)
     clock = MockClock(autojump_threshold=0)
+    # Trio otherwise runs tasks that are due at the same time in a random order.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio_run._r.seed(SEED)
     if way == "aimd":
         trio.run(aimd, service, found, clock=clock)
     else:
--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -45,7 +45,8 @@
 SHORT_UPLOAD_STALL_S = 5.0
 """Stall limit for bodies that are not bulky: a stalled body occupies a slot."""
 
-SWEEP_INTERVAL_S = 5.0
+SWEEP_INTERVAL_S = 0.25
+"""Time between two looks at silent requests and idle connections."""
 
 REPLAYED = ("Acaciasaddle-Replayed", "true")
 
@@ -98,6 +99,7 @@
             try:
                 while True:
                     await trio.sleep(SWEEP_INTERVAL_S)
+                    self._running.give_up_slots()
                     for target in list(self._targets.values()):
                         await target.connections.close_idle()
             finally:
@@ -158,6 +160,11 @@
         for target in self._targets.values():
             target.queue.reject(unit)
 
+    def given_up(self, upstream: UpstreamId) -> None:
+        target = self._targets.get(upstream)
+        for unit in target.queue.units() if target is not None else ():
+            self.reject(unit)
+
     def upstream_lost(self, upstream: UpstreamId) -> None:
         for job in self._progress.with_slot(upstream):
             job.lose()
@@ -239,7 +246,11 @@
         req = job.req
         while True:
             entry, is_new = self._once.claim(
-                upstream=req.upstream, unit=req.unit, caller=req.caller, key=req.idempotency_key
+                upstream=req.upstream,
+                unit=req.unit,
+                caller=req.caller,
+                key=req.idempotency_key,
+                work_key=req.key,
             )
             if is_new:
                 job.entry = entry
--- a/src/acaciasaddle/dispatch/_queue.py
+++ b/src/acaciasaddle/dispatch/_queue.py
@@ -91,11 +91,6 @@
         """Number of waiting requests."""
         return len(self._policy) + sum(len(items) for items in self._held.values())
 
-    @property
-    def running(self) -> int:
-        """Number of requests in progress."""
-        return len(self._running)
-
     def expected(self, kind: str) -> float:
         """Return the observed service time of a kind in seconds, 0 if unknown."""
         return self._times.expected(kind)
@@ -190,6 +185,10 @@
                 NotOwnerError(f"unit {unit} has moved away", step=STEP, peer=str(self._upstream))
             )
 
+    def units(self) -> set[UnitId]:
+        """Return the units that have waiting requests or are held."""
+        return {item.unit for item in self._policy} | set(self._held)
+
     def load(self) -> UpstreamLoad:
         """Return the observed load."""
         now = self._clock.now()
--- a/src/acaciasaddle/entry/_ingress.py
+++ b/src/acaciasaddle/entry/_ingress.py
@@ -45,6 +45,8 @@
 REROUTE_PAUSE_S = 0.01
 REROUTE_MAX_PAUSE_S = 0.05
 OWN_HEADERS = "acaciasaddle-"
+# Step of the dispatcher's error for a request whose upstream was lost while it ran.
+LOST_STEP = "dispatch.lost"
 
 log = get_logger("route")
 
@@ -84,12 +86,12 @@
     async def handle(self, scope: Any, receive: Receive, send: Send) -> None:
         """Serve one HTTP request given as an ASGI scope."""
         request_id = f"{self._settings.host_id}-{uuid.uuid4().hex}"
-        reply = CallerReply(send=send, request_id=request_id)
         body = CallerBody(
             receive=receive,
             max_bytes=self._settings.max_body_bytes,
             stall_timeout=self._settings.body_stall_timeout_s,
         )
+        reply = CallerReply(send=send, request_id=request_id, body=body)
         self.in_progress += 1
         started = self._clock.now()
         try:
@@ -100,7 +102,10 @@
         finally:
             self.in_progress -= 1
             self._metrics.timing("ingress.request", (self._clock.now() - started) * 1000)
-            if not reply.ended:
+            if reply.ended:
+                # Here, since a caller that has its answer may go away at once.
+                self._note(request_id, "answer", f"status {reply.status}")
+            else:
                 self._note(request_id, "caller.gone", "the exchange ended without a whole answer")
 
     async def _serve(
@@ -110,7 +115,8 @@
             req = self._classify(scope, request_id)
             await self._forward(req, body, reply)
         except RequestError as exc:
-            await self._refuse(reply, request_id, exc, Outcome.NOT_RUN, exc.status, None)
+            outcome = Outcome.UNKNOWN if body.begun else Outcome.NOT_RUN
+            await self._refuse(reply, request_id, exc, outcome, exc.status, None)
         except RefusedError as exc:
             await self._refuse(reply, request_id, exc, exc.outcome, exc.status, exc.retry_after)
 
@@ -159,10 +165,11 @@
         deadline = self._clock.now() + req.budget_ms / 1000
         pause = REROUTE_PAUSE_S
         last: AcaciasaddleError | None = None
+        may_have_run = False
         for attempt in range(1, 1_000_000):
             left = deadline - self._clock.now()
             if left <= 0:
-                raise self._too_late(last)
+                raise self._unknown(last) if may_have_run else self._too_late(last)
             try:
                 route = self._router.route(service=req.service, key=req.key)
                 self._check_access(cfg, req, route)
@@ -176,8 +183,10 @@
                 await self._attempt(req, route, attempt, body, reply)
                 return
             except NotOwnerError as exc:
+                may_have_run = may_have_run or exc.step == LOST_STEP
                 last = exc
             except PeerUnreachableError as exc:
+                may_have_run = may_have_run or exc.sent
                 # The holder and its successor share the records of work that must run once, so
                 # sending it again there cannot run it twice.
                 if exc.sent and not (idempotent or req.once):
@@ -185,6 +194,9 @@
                 last = exc
             except RefusedError as exc:
                 if exc.step != "route":
+                    # The records of once work settle what became of an earlier attempt.
+                    if may_have_run and not req.once and exc.outcome is Outcome.NOT_RUN:
+                        raise self._unknown(exc) from exc
                     raise
                 last = exc
             if reply.started:
@@ -222,7 +234,6 @@
             await self._dispatcher.serve(req, body, reply)
         else:
             await self._hub.work(member, req, body, reply)
-        self._note(req.request_id, "answer", f"status {reply.status}")
 
     def _check_access(self, cfg: Configuration, req: WorkRequest, route: Route) -> None:
         allowed = caller_data_centres(cfg.inventory, cfg.rules, req.caller)
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -20,6 +20,7 @@
 from acaciasaddle.ownership._limits import CALL_TIMEOUT_S
 from acaciasaddle.ownership._limits import HOLDER_SUSPECT_S
 from acaciasaddle.ownership._limits import LEASE_S
+from acaciasaddle.ownership._limits import REPLACED_STOPS_S
 from acaciasaddle.ownership._limits import at_most
 from acaciasaddle.ownership._rendezvous import rendezvous_owner
 from acaciasaddle.wire import AskLoad
@@ -167,8 +168,9 @@
                 elif row is None:
                     await self._create(info)
                 elif row.holder == self._ctx.member and info.id in self._reclaiming:
-                    self._reclaiming.discard(info.id)
                     await self._reclaim(info)
+                    # Only now: without an answer of the store the old term must not be used.
+                    self._reclaiming.discard(info.id)
                 elif row.holder == self._ctx.member:
                     await self._hold_by_row(info, row)
                 elif row.successor == self._ctx.member:
@@ -271,13 +273,20 @@
             stopped_at = max(self._ctx.hub.answered_at(row.holder), since) + at_most(AUTHORITY_S)
             if handed or self._ctx.clock.now() > stopped_at:
                 reason = "handed over" if handed else f"{row.holder} is silent"
-                await self._take_over(info, row, stopped_at, reason, handed=handed)
+                await self._take_over(info, row, stopped_at, since, reason, handed=handed)
                 return
             with trio.move_on_after(max(stopped_at - self._ctx.clock.now(), STAND_BY_STEP_S)):
                 await woken.wait()
 
     async def _take_over(
-        self, info: UpstreamInfo, row: UpstreamRow, stopped_at: float, reason: str, *, handed: bool
+        self,
+        info: UpstreamInfo,
+        row: UpstreamRow,
+        stopped_at: float,
+        known_since: float,
+        reason: str,
+        *,
+        handed: bool,
     ) -> None:
         log.info("takeover", upstream=str(info.id), holder=row.holder, reason=reason)
         self._ctx.metrics.count("authority.takeovers")
@@ -293,6 +302,7 @@
             row_written=False,
             lapsed_after=stopped_at + at_most(LEASE_S),
             memory_since=self._memory_since.get(info.id, self._ctx.clock.wall()),
+            replaced_until=known_since + REPLACED_STOPS_S,
             ctx=self._ctx,
         )
         self._router.announce(info.id, term=held.term, member=self._ctx.member)
@@ -392,23 +402,30 @@
     async def _balance(self) -> None:
         while True:
             await trio.sleep(BALANCE_INTERVAL_S * random.uniform(0.8, 1.2))
-            place = self._ctx.members.data_centre
-            live = self._ctx.members.live(place)
-            counts = dict.fromkeys(live, 0)
-            for info in self._local_upstreams():
-                row = self._ctx.mirror.upstream_row(info.id)
-                if row is not None and row.holder in counts:
-                    counts[row.holder] += 1
-            fewest = min(counts, key=lambda member: (counts[member], member))
-            if self._stopping or counts[self._ctx.member] <= counts[fewest] + 1:
+            # Without the store, a new holder could not write its row and would have no successor.
+            if self._stopping or not self._ctx.mirror.store_up:
                 continue
-            for held in list(self._held.values()):
-                if held.successor == fewest and held.row_written and held.reachable:
-                    log.info("upstream is handed over", upstream=str(held.id), to=fewest)
-                    await held.hand_over()
-                    break
-            else:
-                await self._offer(fewest)
+            try:
+                await self._even_out()
+            except PlatformError as exc:
+                log.info("balance waits", error=str(exc))
+
+    async def _even_out(self) -> None:
+        """Hand one upstream to the host that holds the fewest, if this one holds too many."""
+        counts = dict.fromkeys(self._ctx.members.live(self._ctx.members.data_centre), 0)
+        for info in self._local_upstreams():
+            row = self._ctx.mirror.upstream_row(info.id)
+            if row is not None and row.holder in counts:
+                counts[row.holder] += 1
+        fewest = min(counts, key=lambda member: (counts[member], member))
+        if counts[self._ctx.member] <= counts[fewest] + 1:
+            return
+        for held in list(self._held.values()):
+            if held.successor == fewest and held.row_written and held.reachable:
+                log.info("upstream is handed over", upstream=str(held.id), to=fewest)
+                await held.hand_over()
+                return
+        await self._offer(fewest)
 
     async def _offer(self, member: str) -> None:
         """Make the host with the fewest upstreams the successor of one of this host's."""
