--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -534,7 +534,6 @@
     def item(index: int) -> Waiting:
         now = clock.now()
         return Waiting(
-            request_id=str(index),
             unit=UnitId("bookings", "default", index % 256),
             kind="availability",
             rank=index % 2,
