Send a successor only rows that it lacks, and look up usable upstreams once

Change: the list of usable upstreams is kept until a row changes; first assignment yields after each chunk; rows that the successor's digest covers are left out. Conclusion: kept; 17 scenarios of ownership and fleet pass.

--- a/src/acaciasaddle/ownership/_assign.py
+++ b/src/acaciasaddle/ownership/_assign.py
@@ -69,6 +69,8 @@
     async def _create(self, cfg: Configuration) -> None:
         conditions, puts = {}, {}
         for service, group, chunk, shards in self._absent(cfg):
+            # Heartbeats go on while a large group is assigned.
+            await trio.lowlevel.checkpoint()
             first = chunk * CHUNK_SHARDS
             units = {}
             for shard in range(first, min(first + CHUNK_SHARDS, shards)):
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -538,8 +538,12 @@
             return True
         mirror = self._ctx.mirror
         prefix = f"units/{self.id.service}/"
+        # The successor's copy is complete up to the revision that it last told.
+        digests = {digest.member: digest.revision for digest in self._ctx.hub.digests()}
+        known = digests.get(member, 0)
         rows = [row for row in mirror.below("units") if row.key.startswith(prefix)]
         rows.extend(row for row in mirror.below("pins") if row.key == f"pins/{self.id.service}")
+        rows = [row for row in rows if row.revision > known]
         own = mirror.get(self.id.row_key)
         if own is not None:
             rows.append(own)
--- a/src/acaciasaddle/ownership/_placement.py
+++ b/src/acaciasaddle/ownership/_placement.py
@@ -57,6 +57,8 @@
 
     def __init__(self, *, mirror: Mirror) -> None:
         self._mirror = mirror
+        self._found: dict[tuple[str, str], list[UpstreamInfo]] = {}
+        self._found_at = -1
 
     def choose(self, unit: UnitId, *, without: Collection[UpstreamId]) -> UpstreamId | None:
         cfg = self._mirror.configuration
@@ -110,11 +112,15 @@
             yield Move(unit=unit, target=poorest, reason="rebalance")
 
     def _usable(self, cfg: Configuration, service: str, group: str) -> list[UpstreamInfo]:
-        found = []
-        for info in cfg.candidates(service, group):
-            row = self._mirror.upstream_row(info.id)
-            if row is not None and row.health == "ready":
-                found.append(info)
+        # Kept until a row changes: looking up 790 upstreams for each unit took 2.7 ms.
+        if self._found_at != self._mirror.serial:
+            self._found.clear()
+            self._found_at = self._mirror.serial
+        found = self._found.get((service, group))
+        if found is None:
+            rows = ((i, self._mirror.upstream_row(i.id)) for i in cfg.candidates(service, group))
+            found = [info for info, row in rows if row is not None and row.health == "ready"]
+            self._found[(service, group)] = found
         return found
 
 
