Let a holder without authority wait before its next order

Cause: the renewal task went round without a pause whenever the wanted units differed from the granted ones and nothing could be ordered: without authority it used a whole core, and before an unchecked upstream may be used it sent health requests back to back. On a mock clock the program never ended.

Change: the task is woken early only if an order can be sent and can change what is granted.

--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -256,12 +256,22 @@
                 self._ctx.dispatcher.upstream_lost(self.id)
             self._was_lost = self.lost()
             self._wake = trio.Event()
-            if self.moves.wanted() != self.granted and self.reachable:
+            if self._has_order_to_send():
                 self._wake.set()
             pause = started + RENEW_INTERVAL_S - self._ctx.clock.now()
             with trio.move_on_after(max(pause, 0.005)):
                 await self._wake.wait()
 
+    def _has_order_to_send(self) -> bool:
+        """Whether the next order need not wait for the interval.
+
+        Without authority, or before an upstream that refuses nobody may be used, no order could
+        change what is granted, and the task would go round without a pause.
+        """
+        if not self.reachable or not self.in_authority():
+            return False
+        return self._ctx.clock.now() >= self._not_before and self.moves.wanted() != self.granted
+
     def _adopt_term(self) -> None:
         """Take over the term of a row that was written although its answer was lost."""
         row = self._ctx.mirror.upstream_row(self.id)
