Add a fault matrix over hosts, upstreams and table on a mock clock

Cause: the promises were tested part by part, not under a fault in the middle of each step.

Change: features/support runs several entry hosts in one trio program, records the steps of 11 scenarios and repeats them with 32 faults at each step. The checker also judges refusals by request id, work on leaving upstreams, lost assignments and reverted configurations. Nine rules are switched off in turn to show that it reports the violation.

--- /dev/null
+++ b/features/matrix/proofs.feature
@@ -0,0 +1,18 @@
+Feature: The matrix checker notices rules that are switched off
+  A checker that reports nothing whatever happens would prove nothing.
+
+  Scenario Outline: A rule that guards a promise is switched off
+    When the matrix rule "<rule>" is switched off
+    Then the matrix checker reports "<report>" for promise <promise>
+
+    Examples:
+      | promise | rule                               | report          |
+      | 1       | lease not waited for               | two-owners      |
+      | 1       | release not waited for             | two-owners      |
+      | 2       | assignment without a look at the rows | assignment-lost |
+      | 3       | records not told apart             | foreign-answer  |
+      | 4       | unknown called not run             | not-run-but-ran |
+      | 5       | records not replicated             | run-twice       |
+      | 6       | leaving upstream not drained       | late-work       |
+      | 7       | stop without waiting               | cut-by-stop     |
+      | 8       | lower versions taken               | config-reverted |
--- /dev/null
+++ b/features/matrix/trials.feature
@@ -0,0 +1,36 @@
+Feature: Promises under faults at every step
+  Several hosts, upstreams and the table run on a mock clock; a fault strikes at a step. The whole
+  matrix is run by "python -m features.support.matrix"; these are fixed cells of it.
+
+  Scenario Outline: Nothing is violated without faults
+    When the matrix scenario "<scenario>" runs with seed 1
+    Then the matrix checker reports nothing
+
+    Examples:
+      | scenario                 |
+      | once                     |
+      | lookups                  |
+      | callers gone             |
+      | drain and moves          |
+      | drain during an upload   |
+      | graceful stop            |
+      | two data centres         |
+
+  Scenario Outline: Nothing is violated beside a fault
+    When the matrix scenario "<scenario>" runs with seed 1 and "<fault>" at "<step>" number <number>
+    Then the matrix fault struck
+    And the matrix checker reports nothing
+
+    Examples:
+      | scenario         | fault                            | step                           | number |
+      | once             | host killed                      | host receives answer to work   | 2      |
+      | once             | host paused 1 s                  | host sends work                | 2      |
+      | once             | host replaced by an empty one    | host receives call KeepRecords | 0      |
+      | once             | host killed, store down          | host sends grant               | 3      |
+      | lookups          | upstream frozen 3 s              | upstream receives grant        | 0      |
+      | lookups          | connections silent for good      | upstream receives work         | 1      |
+      | uploads          | upstream killed and restarted    | host receives WorkData         | 4      |
+      | drain and moves  | store answer lost                | host before write of units     | 0      |
+      | two operators    | store slow                       | host before write of config    | 0      |
+      | graceful stop    | store down                       | host receives call Handover    | 0      |
+      | two data centres | data centre cut from both        | host sends OpenWork            | 2      |
--- /dev/null
+++ b/features/support/page.py
@@ -0,0 +1,142 @@
+"""Writes ``docs/fault-matrix.md``."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from features.support.trial import CONFIG_LIMIT_S
+from features.support.trial import DRAIN_LIMIT_S
+from features.support.trial import HARMLESS_TO_STOP
+from features.support.trial import RECOVERY_S
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from features.support.matrix import Result
+    from features.support.proofs import Proof
+
+PROMISE_TEXTS = {
+    1: "one owner",
+    2: "assignments survive",
+    3: "own, complete answer",
+    4: "not run is true",
+    5: "at most once",
+    6: "no work when leaving",
+    7: "graceful stop",
+    8: "configuration",
+    0: "service returns",
+}
+
+HEAD = """# Fault matrix
+
+Written by `features/support/matrix.py`; do not edit. Several entry hosts, upstream stand-ins and
+the table run in one trio program on a mock clock. A scenario is run once without faults to record
+its steps: every message between hosts, every request to an upstream and its answer, every call of
+the store, each as it is sent and as it is received. A *cell* is a fault at one occurrence of one
+step. Per step and fault there are up to three cells: at the first occurrence of the step, at the
+middle one, and twice. The checker judges a cell by the records of the upstream stand-ins, the
+writes of the table and the answers that callers got.
+
+    PYTHONPATH=src PYTHONHASHSEED=0 python -m features.support.matrix --page docs/fault-matrix.md
+
+runs all cells (an estimated 19 hours on one core, at 2.3 s a cell); `--minutes` limits the time and takes the cells in a
+random order given by `--seed`. `--scenario`, `--step` and `--fault` choose cells.
+"""
+
+
+def _limits() -> str:
+    return f"""
+## What is judged
+
+* Promises 1 to 5, in every cell.
+* Promise 6: no work begins on an upstream more than {DRAIN_LIMIT_S:g} s after it began to leave, or
+  after the end of the fault.
+* Promise 7: in the scenario "graceful stop", beside the faults that cut no answer by themselves:
+  {", ".join(sorted(HARMLESS_TO_STOP))}; and without faults.
+* Promise 8: the last accepted change is in force at every running host {CONFIG_LIMIT_S:g} s after
+  acceptance or the end of the fault; no host goes back to an earlier one.
+* Service returns: {RECOVERY_S:g} s after the end of the fault every running host answers a lookup
+  of every unit.
+"""
+
+
+NOT_PROVED = """
+## Not proved
+
+* Cells that the run above did not reach. The numbers are of a random sample unless all were run.
+* Combinations of faults at two different steps, except the pairs in the table.
+* Faults with real processes, sockets and clocks (SIGKILL, SIGSTOP); `emulator/_fleet.py` covers
+  some.
+* Clocks that drift apart: all simulated clocks run at the same rate.
+* Promise 7 beside faults that cut answers by themselves: these answers cannot be told from ones
+  cut by the stop.
+* Promise 2 for pinned keys: no scenario pins a key.
+* The progress shown by the operator API is not judged.
+* An upstream that checks no orders stays unserved until `isolation_limit_s` if its holder and the
+  successor of that time are both lost, since nobody can tell whether they still use it. Such units
+  are left out of "service returns"; the number of cells where this happened is given above.
+* Runs that were begun before their unit moved away from a lost upstream may end after the move.
+"""
+
+
+def write_page(
+    path: str,
+    results: Sequence[Result],
+    proofs: Sequence[Proof],
+    *,
+    total: int,
+    seed: int,
+    seconds: float,
+) -> None:
+    """Write the page of a run."""
+    struck = [result for result in results if result.struck]
+    lines = [HEAD, _limits(), "\n## Result\n"]
+    lines.append(
+        f"Seed {seed}: {len(results)} of {total} cells run in {seconds:.0f} s; the fault struck in "
+        f"{len(struck)} of them (in the others the step did not come again), and "
+        f"{sum(result.passed for result in struck)} of these passed. In "
+        f"{sum(result.isolated > 0 for result in struck)} cells units of an upstream that checks "
+        "no orders were left out as said below. The longest return of service took "
+        f"{max((result.recovery_s for result in struck if result.passed), default=0):.1f} s of "
+        "simulated time after the end of scenario and fault.\n"
+    )
+    lines.append("Passed / run, by fault and promise:\n")
+    lines += _table(struck)
+    lines.append("\n### Failed cells\n")
+    failed = [result for result in struck if not result.passed]
+    lines += [_failure(result) for result in failed] or ["None."]
+    lines.append("\n## Proofs that the checker notices\n")
+    lines.append("Each rule is switched off by a patch in `features/support/defects.py`.\n")
+    lines.append("| promise | rule switched off | scenario | fault | reported |")
+    lines.append("|---|---|---|---|---|")
+    for proof in proofs:
+        defect = proof.defect
+        lines.append(
+            f"| {defect.promise} | {defect.name} | {defect.scenario} | {defect.fault or '-'} | "
+            f"{defect.rule if proof.noticed else '**nothing**'} |"
+        )
+    lines.append(NOT_PROVED)
+    Path(path).write_text("\n".join(lines).rstrip() + "\n", encoding="utf-8")
+
+
+def _table(results: Sequence[Result]) -> list[str]:
+    titles = [f"{number or 'S'}: {text}" for number, text in PROMISE_TEXTS.items()]
+    lines = ["| fault | " + " | ".join(titles) + " |", "|---|" + "---|" * len(titles)]
+    names = dict.fromkeys(result.cell.fault.name for result in results)
+    for name in sorted(names):
+        of_fault = [result for result in results if result.cell.fault.name == name]
+        cells = []
+        for promise in PROMISE_TEXTS:
+            judged = [result for result in of_fault if result.judges(promise)]
+            passed = [result for result in judged if result.keeps(promise)]
+            cells.append(f"{len(passed)} / {len(judged)}" if judged else "-")
+        lines.append(f"| {name} | " + " | ".join(cells) + " |")
+    return lines
+
+
+def _failure(result: Result) -> str:
+    rules = Counter(finding.rule for finding in result.findings)
+    what = ", ".join(f"{rule} ({count})" for rule, count in rules.items()) or result.error
+    return f"* {result.cell}: {what}"
--- /dev/null
+++ b/features/support/stage.py
@@ -0,0 +1,532 @@
+"""Hosts, upstreams, table and network of one trial."""
+
+from __future__ import annotations
+
+import json
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from features.support.domains import Domain
+from features.support.domains import is_stopped
+from features.support.http_server import serve
+from features.support.network import MemoryBackend
+from features.support.network import Network
+from features.support.steps_seen import StepEvent
+from features.support.steps_seen import StepNames
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.config import Settings
+from acaciasaddle.emulator import UpstreamModel
+from acaciasaddle.emulator import UpstreamSettings
+from acaciasaddle.emulator._store import MemoryTable
+from acaciasaddle.emulator._store import StoreFaults
+from acaciasaddle.emulator._store import TableStore
+from acaciasaddle.emulator._upstream_app import UpstreamApp
+from acaciasaddle.entry._host import EntryHost
+from acaciasaddle.entry._host import Surroundings
+from acaciasaddle.model import UpstreamId
+from acaciasaddle.model import shard_of
+
+if TYPE_CHECKING:
+
+    from acaciasaddle.emulator._records import UpstreamRecord
+    from acaciasaddle.emulator._store import StoreState
+    from acaciasaddle.model import Row
+
+SERVICE = "bookings"
+SHARDS = 9
+START_LIMIT_S = 30.0
+NORTH = "north"
+EAST = "east"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamPlan:
+    """An upstream of a trial. ``obeys`` has the stand-in carry out what it should refuse."""
+
+    name: str
+    data_centre: str = NORTH
+    checks_orders: bool = True
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Layout:
+    """Hosts by data centre, and upstreams."""
+
+    hosts: Mapping[str, str]
+    upstreams: tuple[UpstreamPlan, ...]
+
+
+ONE_PLACE = Layout(
+    hosts={"a": NORTH, "b": NORTH, "c": NORTH},
+    upstreams=(
+        UpstreamPlan(name="u0"),
+        UpstreamPlan(name="u1"),
+        UpstreamPlan(name="u2", checks_orders=False),
+    ),
+)
+TWO_PLACES = Layout(
+    hosts={"a": NORTH, "b": NORTH, "c": EAST, "d": EAST},
+    upstreams=(
+        UpstreamPlan(name="u0"),
+        UpstreamPlan(name="u1", data_centre=EAST),
+        UpstreamPlan(name="u2", data_centre=EAST, checks_orders=False),
+    ),
+)
+
+KINDS: list[dict[str, Any]] = [
+    {"name": "lookup", "method": "GET", "path": "/bookings/{key}", "rank": "normal"},
+    {
+        "name": "deposit",
+        "method": "POST",
+        "path": "/bookings/{key}/deposit",
+        "rank": "urgent",
+        "once": True,
+        "idempotent": False,
+    },
+    {
+        "name": "recording",
+        "method": "PUT",
+        "path": "/bookings/{key}/recording",
+        "rank": "bulk",
+        "bulky": True,
+    },
+]
+RULES: dict[str, Any] = {
+    "ranks": [
+        {"name": "urgent", "target_ms": 4000, "share": 0.6},
+        {"name": "normal", "target_ms": 4000, "share": 0.25},
+        {"name": "bulk", "target_ms": 20000, "share": 0.1},
+    ],
+    "kinds": [{"service": SERVICE, **kind} for kind in KINDS],
+}
+
+
+class RecordingStore(TableStore):
+    """Keeps what every transaction wrote and when."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[tuple[float, Row]] = []
+
+    def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, Any]
+    ) -> tuple[Row, ...]:
+        rows = super().transact(conditions=conditions, puts=puts)
+        self.history.extend((trio.current_time(), row) for row in rows)
+        return rows
+
+
+class StageTable(MemoryTable):
+    """A host's access to the table; its calls are steps."""
+
+    def __init__(self, *, stage: Stage, host_id: str) -> None:
+        super().__init__(store=stage.store, faults=StoreFaults())
+        self._stage = stage
+        self._host_id = host_id
+
+    async def read(self, key: str) -> Row | None:
+        await self._step("before table read")
+        row = await super().read(key)
+        await self._step("after table read")
+        return row
+
+    async def scan(self, prefix: str, *, since: int) -> Any:
+        await self._step("before table scan")
+        scan = await super().scan(prefix, since=since)
+        await self._step("after table scan")
+        return scan
+
+    async def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, Any]
+    ) -> tuple[Row, ...]:
+        what = "+".join(sorted({key.split("/", 1)[0] for key in puts}))
+        await self._step(f"before write of {what}")
+        rows = await super().transact(conditions=conditions, puts=puts)
+        await self._step(f"after write of {what}")
+        return rows
+
+    async def _step(self, name: str) -> None:
+        await self._stage.step([StepEvent(name=f"host {name}", actor=self._host_id, other="store")])
+
+
+class _CallerListener:
+    """Stands for the listener of callers: its stop waits for the exchanges in progress."""
+
+    def __init__(self, host: EntryHost) -> None:
+        self._host = host
+
+    async def stop(self) -> None:
+        while self._host.ingress.in_progress:
+            await trio.sleep(0.01)
+
+
+class StageHost:
+    """One entry host; a replacement has the same id and another incarnation."""
+
+    def __init__(self, *, stage: Stage, host_id: str, data_centre: str, number: int) -> None:
+        self.id = host_id
+        self.data_centre = data_centre
+        self.domain = Domain()
+        self.alive = True
+        self.leaving = False
+        self.stopped_at: float | None = None
+        self.address = f"10.0.0.{number}:7000"
+        self.table = StageTable(stage=stage, host_id=host_id)
+        self._stage = stage
+        self.nursery: trio.Nursery
+        settings = Settings(
+            host_id=host_id,
+            data_centre=data_centre,
+            caller_address=f"10.0.0.{number}:80",
+            peer_address=self.address,
+            operator_address=f"10.0.0.{number}:81",
+            platform_address="10.0.9.9:80",
+            seeds=tuple(
+                f"10.0.0.{i + 1}:7000" for i in range(len(stage.layout.hosts)) if i + 1 != number
+            ),
+        )
+
+        async def connect(address: str) -> trio.abc.Stream:
+            return await stage.network.connect(host_id, address)
+
+        async def listen(address: str) -> Any:
+            return stage.network.listen(host_id, address), address
+
+        self.host = EntryHost(
+            settings=settings,
+            surroundings=Surroundings(
+                table=self.table,
+                clock=TrioClock(),
+                backend=MemoryBackend(network=stage.network, place=host_id),
+                connect=connect,
+                listen=listen,
+            ),
+            listeners=False,
+        )
+        listener: Any = _CallerListener(self.host)
+        self.host.caller_listener = listener
+        self.host._listeners = (listener, listener)
+
+    async def run(self) -> None:
+        """Run until the trial ends or the host has stopped; then end as a process does."""
+        async with trio.open_nursery() as self.nursery:
+            await self.host.run()
+            self.alive = False
+            self._stage.network.remove(self.id)
+            self.nursery.cancel_scope.cancel()
+
+    @property
+    def usable(self) -> bool:
+        """Whether a caller may be sent here."""
+        return self.alive and not self.leaving and not self.domain.stopped
+
+    def kill(self) -> None:
+        """End the process at once: no task runs on, and its connections are reset."""
+        self.alive = False
+        self.domain.stop()
+        self._stage.network.remove(self.id)
+
+    def pause(self) -> None:
+        """Stop the process, as SIGSTOP does."""
+        self.domain.stop()
+
+    def resume(self) -> None:
+        """Continue after ``pause``."""
+        if self.alive:
+            self.domain.resume()
+
+    def start_soon(self, function: Callable[..., Any], *args: Any) -> None:
+        """Run a function as a task of the host."""
+        with self.domain.enter():
+            self.nursery.start_soon(function, *args)
+
+
+class StageUpstream:
+    """One upstream over its incarnations."""
+
+    def __init__(self, *, stage: Stage, plan: UpstreamPlan, number: int) -> None:
+        self.plan = plan
+        self.address = f"10.0.1.{number}:80"
+        self.id = UpstreamId(SERVICE, plan.name)
+        self._stage = stage
+        self._past: list[UpstreamRecord] = []
+        self._scope = trio.CancelScope()
+        self.model = self._new_model()
+
+    def _new_model(self) -> UpstreamModel:
+        # The grace is longer than a trial, so that not the stand-in but the system keeps work
+        # off an upstream that leaves.
+        settings = UpstreamSettings(
+            name=self.plan.name,
+            checks_orders=self.plan.checks_orders,
+            slots=2,
+            queue=4,
+            work_ms=20,
+            lag_ms=300,
+            leave_grace_ms=1e9,
+        )
+        offset = self._stage.rng.uniform(0, 1e6)
+        return self._stage.defects.model(settings, offset)
+
+    def start(self) -> None:
+        """Serve; the model starts anew after ``kill``."""
+        self._stage.nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        listener = self._stage.network.listen(self.plan.name, self.address)
+        with trio.CancelScope() as self._scope:
+            await serve(listener, UpstreamApp(model=self.model))
+
+    def kill(self) -> None:
+        """End the process: connections are reset, work in progress is dropped."""
+        self._past.append(self.model.record())
+        self._stage.network.remove(self.plan.name)
+        self._scope.cancel()
+
+    def restart(self) -> None:
+        """Start another process after ``kill``."""
+        self.model = self._new_model()
+        self.start()
+
+    def records(self) -> list[UpstreamRecord]:
+        """Return the records of all processes."""
+        return [*self._past, self.model.record()]
+
+
+@dataclass(kw_only=True)
+class Defects:
+    """Parts that a proof replaces to show that the checker notices."""
+
+    model: Callable[[UpstreamSettings, float], UpstreamModel] = field(
+        default=lambda settings, offset: UpstreamModel(
+            settings=settings, clock=TrioClock(), offset_ms=offset
+        )
+    )
+
+
+class Stage:
+    """One trial's system, in one trio program with a mock clock."""
+
+    def __init__(self, *, layout: Layout, seed: int, defects: Defects | None = None) -> None:
+        self.layout = layout
+        self.rng = random.Random(seed)
+        self.defects = defects or Defects()
+        self.store = RecordingStore()
+        self.network = Network()
+        self.network.before_send = self._before_send
+        self.network.after_receive = self._after_receive
+        self._names = StepNames(frozenset(plan.name for plan in layout.upstreams))
+        self.steps: Counter[str] = Counter()
+        self.on_step: Callable[[StepEvent, int], None] | None = None
+        self.nursery: trio.Nursery
+        self.hosts: dict[str, StageHost] = {}
+        self.former_hosts: list[StageHost] = []
+        self.upstreams: dict[str, StageUpstream] = {}
+        self.left: list[tuple[str, float, float]] = []
+        self._recording = False
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start everything; return once all units are granted and holders are spread."""
+        self.nursery = nursery
+        for number, plan in enumerate(self.layout.upstreams):
+            upstream = StageUpstream(stage=self, plan=plan, number=number + 1)
+            self.upstreams[plan.name] = upstream
+            upstream.start()
+        self.store.transact(
+            conditions={"config/current": 0, "config/history/1": 0},
+            puts={
+                "config/current": self.configuration_row(),
+                "config/history/1": {
+                    "version": 1,
+                    "change_id": "first",
+                    "author": "test",
+                    "write_id": "first",
+                },
+            },
+        )
+        for host_id in self.layout.hosts:
+            self.start_host(host_id)
+        await self._until_settled()
+        self._recording = True
+
+    def configuration_row(self) -> dict[str, Any]:
+        """Return the first configuration."""
+        return {
+            "version": 1,
+            "change_id": "first",
+            "author": "test",
+            "inventory": self.inventory(),
+            "rules": RULES,
+            "write_id": "first",
+        }
+
+    def inventory(self, *, leaving: tuple[str, ...] = ()) -> dict[str, Any]:
+        """Return the inventory, with these upstreams leaving."""
+        return {
+            "data_centres": [{"name": name} for name in sorted(set(self.layout.hosts.values()))],
+            "services": [
+                {
+                    "name": SERVICE,
+                    "shards": SHARDS,
+                    "upstreams": [
+                        {
+                            "name": upstream.plan.name,
+                            "address": upstream.address,
+                            "data_centre": upstream.plan.data_centre,
+                            "slots": 2,
+                            "checks_orders": upstream.plan.checks_orders,
+                            "state": "leaving" if upstream.plan.name in leaving else "active",
+                        }
+                        for upstream in self.upstreams.values()
+                    ],
+                }
+            ],
+        }
+
+    def start_host(self, host_id: str) -> StageHost:
+        """Start a host, or an empty one in place of a former one."""
+        former = self.hosts.get(host_id)
+        if former is not None:
+            self.former_hosts.append(former)
+        number = list(self.layout.hosts).index(host_id) + 1
+        host = StageHost(
+            stage=self, host_id=host_id, data_centre=self.layout.hosts[host_id], number=number
+        )
+        if former is not None:
+            host.table.faults = former.table.faults
+        self.hosts[host_id] = host
+        with host.domain.enter():
+            self.nursery.start_soon(host.run)
+        return host
+
+    def resume_all(self) -> None:
+        """Run stopped domains again, so that their tasks see that the trial has been cancelled."""
+        for host in self.all_hosts():
+            host.domain.resume()
+
+    def all_hosts(self) -> list[StageHost]:
+        """Return the hosts and those that were replaced."""
+        return [*self.hosts.values(), *self.former_hosts]
+
+    def taken_from(self, row_key: str) -> set[str]:
+        """Return the holder and successor from whom another host took an upstream, if one did."""
+        rows = [row for _, row in self.store.history if row.key == row_key]
+        present = rows[-1].value["holder"]
+        for row in reversed(rows):
+            if row.value["holder"] != present:
+                former = {m for m in (row.value["holder"], row.value["successor"]) if m}
+                return set() if present in former else former
+        return set()
+
+    def assignments(self) -> dict[int, list[Any]]:
+        """Return owner, previous owner and epoch of every shard by the table."""
+        row = self.store.read(f"units/{SERVICE}/default/0")
+        return {int(k): v for k, v in row.value["units"].items()} if row else {}
+
+    async def _until_settled(self) -> None:
+        with trio.fail_after(START_LIMIT_S):
+            while not self._settled():
+                await trio.sleep(0.05)
+
+    def _settled(self) -> bool:
+        assignments = self.assignments()
+        if not assignments:
+            return False
+        for host in self.hosts.values():
+            if not host.host.mirror.complete:
+                return False
+        for shard, (owner, *_) in assignments.items():
+            upstream = self.upstreams[owner.split("/")[1]]
+            unit = f"{SERVICE}/default/{shard}"
+            if upstream.plan.checks_orders and unit not in upstream.model._log.units:
+                return False
+            row = self.store.read(upstream.id.row_key)
+            if row is None or row.value["health"] != "ready" or not row.value["successor"]:
+                return False
+        held = Counter(self.holder(name) for name in self.upstreams)
+        for place in set(self.layout.hosts.values()):
+            counts = [held[h] for h, where in self.layout.hosts.items() if where == place]
+            if max(counts) > min(counts) + 1:
+                return False
+        return True
+
+    def holder(self, upstream: str) -> str:
+        """Return the host that holds an upstream by the table."""
+        row = self.store.read(self.upstreams[upstream].id.row_key)
+        return str(row.value["holder"]).split("@")[0] if row else ""
+
+    def key_of(self, shard: int, number: int = 0) -> str:
+        """Return a key of a shard."""
+        found = -1
+        for index in range(100_000):
+            if shard_of(f"k{index}", SHARDS) == shard:
+                found += 1
+                if found == number:
+                    return f"k{index}"
+        raise AssertionError("no key found")
+
+    def shard_owned_by(self, upstream: str) -> int:
+        """Return the first shard of an upstream."""
+        return self.shards_owned_by(upstream)[0]
+
+    def shards_owned_by(self, upstream: str) -> list[int]:
+        """Return the shards of an upstream."""
+        name = f"{SERVICE}/{upstream}"
+        return sorted(s for s, (owner, *_) in self.assignments().items() if owner == name)
+
+    # Steps
+
+    async def step(self, events: list[StepEvent]) -> None:
+        """Count steps, and let a fault strike at them."""
+        if not self._recording:
+            return
+        for event in events:
+            number = self.steps[event.name]
+            self.steps[event.name] += 1
+            if self.on_step is not None:
+                self.on_step(event, number)
+        if is_stopped():
+            await trio.lowlevel.checkpoint()
+
+    def stop_recording(self) -> None:
+        """Take no further steps into account."""
+        self._recording = False
+
+    async def _before_send(self, pipe: Any, data: bytes) -> None:
+        if self._recording:
+            await self.step(self._names.sent(pipe, data))
+
+    async def _after_receive(self, pipe: Any, data: bytes) -> None:
+        if self._recording:
+            await self.step(self._names.received(pipe, data))
+
+    # Faults of the store
+
+    def set_store(self, state: StoreState, *, delay_ms: float = 0.0) -> None:
+        """Change the condition of the store for all hosts."""
+        for host in self.hosts.values():
+            host.table.faults.store = state
+            host.table.faults.delay_ms = delay_ms
+
+
+def uuid7(rng: random.Random, wall_s: float) -> str:
+    """Return a UUIDv7 minted at a time of day."""
+    value = (int(wall_s * 1000) << 80) | rng.getrandbits(80)
+    value = value & ~(0xF << 76) | (7 << 76)
+    value = value & ~(0x3 << 62) | (2 << 62)
+    return str(uuid.UUID(int=value))
+
+
+def body_of(tag: str, size: int) -> bytes:
+    """Return a body that no other request has."""
+    head = json.dumps(tag).encode()
+    return head + b"." * max(0, size - len(head))
--- a/src/acaciasaddle/emulator/_checker.py
+++ b/src/acaciasaddle/emulator/_checker.py
@@ -24,6 +24,8 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from acaciasaddle.model import Row
+
 UPSTREAM_RECORD = TypeAdapter(UpstreamRecord)
 CALLER_RECORD = TypeAdapter(CallerRecord)
 
@@ -37,6 +39,9 @@
     NOT_RUN_BUT_RAN = "not-run-but-ran"
     COMPLETED_WITHOUT_RUN = "completed-without-run"
     FOREIGN_ANSWER = "foreign-answer"
+    LATE_WORK = "late-work"
+    ASSIGNMENT_LOST = "assignment-lost"
+    CONFIG_REVERTED = "config-reverted"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,6 +53,23 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """A request that a host refused as not run. ``request_id`` is the one in its answer."""
+
+    request_id: str
+    subject: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Drained:
+    """A time, by CLOCK_BOOTTIME, in which an upstream must begin no work."""
+
+    upstream: str
+    boot_from_ms: float
+    boot_until_ms: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Ownership:
     upstream: str
@@ -82,7 +104,8 @@
 
     Records of different upstreams are compared by CLOCK_BOOTTIME, so all stand-ins have to run on
     one machine. ``shards`` maps ``service/group`` to the number of shards; with it, a pinned key
-    is compared with the shard that it was taken from.
+    is compared with the shard that it was taken from. ``writes`` are all rows ever written to the
+    table, in order.
     """
 
     def __init__(
@@ -91,8 +114,14 @@
         upstreams: Sequence[UpstreamRecord],
         callers: Sequence[CallerRecord] = (),
         shards: Mapping[str, int] | None = None,
+        refusals: Sequence[Refusal] = (),
+        drained: Sequence[Drained] = (),
+        writes: Sequence[Row] = (),
     ) -> None:
         self._callers = callers
+        self._refusals = refusals
+        self._drained = drained
+        self._writes = writes
         self._shards = shards or {}
         self._owned: dict[str, list[_Ownership]] = defaultdict(list)
         self._runs: list[_Run] = []
@@ -114,6 +143,10 @@
             *self._runs_by_others(),
             *self._runs_twice(),
             *self._caller_violations(),
+            *self._refused_but_ran(),
+            *self._late_work(),
+            *self._lost_assignments(),
+            *self._reverted_configurations(),
         )
 
     def _two_owners(self) -> Iterator[Violation]:
@@ -189,6 +222,69 @@
             elif record.outcome is SeenOutcome.FOREIGN:
                 yield Violation(rule=Rule.FOREIGN_ANSWER, subject=key, detail=f"kind {record.kind}")
 
+    def _refused_but_ran(self) -> Iterator[Violation]:
+        refused = {refusal.request_id: refusal for refusal in self._refusals}
+        for item in self._runs:
+            # The dispatcher numbers the attempts of a request: "<request id>.2".
+            refusal = refused.get(item.run.request_id.split(".", 1)[0])
+            if refusal is not None:
+                yield Violation(
+                    rule=Rule.NOT_RUN_BUT_RAN,
+                    subject=refusal.subject,
+                    detail=f"request {item.run.request_id} ran on {item.upstream} at "
+                    f"{item.run.boot_start_ms:.1f}",
+                )
+
+    def _late_work(self) -> Iterator[Violation]:
+        for drained in self._drained:
+            for item in self._runs:
+                started = item.run.boot_start_ms
+                within = drained.boot_from_ms <= started < drained.boot_until_ms
+                if item.upstream == drained.upstream and within:
+                    yield Violation(
+                        rule=Rule.LATE_WORK,
+                        subject=drained.upstream,
+                        detail=f"request {item.run.request_id} started at {started:.1f}",
+                    )
+
+    def _lost_assignments(self) -> Iterator[Violation]:
+        """Find units that a write leaves out, or gives away without a new epoch."""
+        known: dict[str, dict[str, tuple[str, int]]] = defaultdict(dict)
+        for row in self._writes:
+            if not row.key.startswith(("units/", "pins/")):
+                continue
+            before = known[row.key]
+            units = {k: (str(v[0]), int(v[2])) for k, v in row.value["units"].items()}
+            for unit, (owner, epoch) in before.items():
+                after = units.get(unit)
+                if after is None:
+                    detail = f"{owner} at epoch {epoch} is gone in version {row.version}"
+                elif after[1] < epoch or (after[1] == epoch and after[0] != owner):
+                    detail = (
+                        f"{owner} at epoch {epoch} became {after[0]} at epoch {after[1]} in "
+                        f"version {row.version}"
+                    )
+                else:
+                    continue
+                yield Violation(
+                    rule=Rule.ASSIGNMENT_LOST, subject=f"{row.key}:{unit}", detail=detail
+                )
+            known[row.key] = units
+
+    def _reverted_configurations(self) -> Iterator[Violation]:
+        last = 0
+        for row in self._writes:
+            if row.key != "config/current":
+                continue
+            version = int(row.value["version"])
+            if version <= last:
+                yield Violation(
+                    rule=Rule.CONFIG_REVERTED,
+                    subject=row.key,
+                    detail=f"version {version} was written after version {last}",
+                )
+            last = max(last, version)
+
 
 def check(
     *,
