--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -254,19 +254,27 @@
             started = self._ctx.clock.now()
             self._wake = trio.Event()
             self._adopt_term()
-            ordered = self.in_authority()
-            if ordered:
+            if self.in_authority():
                 await self._order()
             if self.lost() and not self._was_lost:
                 log.warning("upstream is lost", upstream=str(self.id), term=self.term)
                 self._ctx.dispatcher.upstream_lost(self.id)
             self._was_lost = self.lost()
-            behind = ordered and self.reachable and self.moves.wanted() != self.granted
-            interval = ORDER_RETRY_S if behind else RENEW_INTERVAL_S
+            interval = ORDER_RETRY_S if self._has_order_to_send() else RENEW_INTERVAL_S
             await trio.sleep(MIN_ORDER_PAUSE_S)
             with trio.move_on_after(max(started + interval - self._ctx.clock.now(), 0)):
                 await self._wake.wait()
 
+    def _has_order_to_send(self) -> bool:
+        """Whether the next order need not wait for the interval.
+
+        Without authority, or before an upstream that refuses nobody may be used, no order could
+        change what is granted, and the task would go round without a pause.
+        """
+        if not self.reachable or not self.in_authority():
+            return False
+        return self._ctx.clock.now() >= self._not_before and self.moves.wanted() != self.granted
+
     def _adopt_term(self) -> None:
         """Take over the term of a row that was written although its answer was lost."""
         row = self._ctx.mirror.upstream_row(self.id)
