Wait longer before units leave an upstream that checks nothing

Cause: found by the fault matrix: an upstream that checks no orders and was frozen for 0.5 s ran requests, received before, after its units had moved. Change: such an upstream is taken for lost only after pause_allowance_s more.

--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -153,8 +153,12 @@
 
     def lost(self) -> bool:
         """Whether the upstream is to be treated as lost."""
-        surely_expired = max(self.lapsed_after + LOSS_GRACE_S, self.row.replaced_until)
-        return self._ctx.clock.now() > surely_expired and not self.reachable
+        expired = self.lapsed_after + LOSS_GRACE_S
+        rules = self._ctx.rules
+        if not self.info.entry.checks_orders and rules is not None:
+            # Nothing keeps it from running a request that it received before it stalled.
+            expired += rules.pause_allowance_s
+        return self._ctx.clock.now() > max(expired, self.row.replaced_until) and not self.reachable
 
     def end(self, reason: str) -> None:
         """Give up the upstream."""
