Remove code that nothing calls

Cause: reading the whole change again: HeldUpstream.lease_lapsed and HEADER_TIMEOUT_S had lost their last users. Change: both removed; the reason behind the header timeout moves to where it is set. No behaviour changes.

--- a/src/acaciasaddle/entry/_serve.py
+++ b/src/acaciasaddle/entry/_serve.py
@@ -13,9 +13,6 @@
 
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
-# A caller whose request line and headers dribble in is dropped after this time.
-HEADER_TIMEOUT_S = 5
-
 
 def hypercorn_config(*, address: str, max_header_bytes: int, header_timeout: float) -> Config:
     """Return the settings of one listener."""
@@ -26,6 +23,7 @@
     cfg.include_date_header = False
     cfg.include_server_header = False
     cfg.h11_max_incomplete_size = max_header_bytes
+    # A caller whose request line and headers dribble in is dropped after this time.
     cfg.keep_alive_timeout = header_timeout
     cfg.keep_alive_max_requests = sys.maxsize
     # Requests in progress are waited for by the entry host itself; long uploads have no limit.
--- a/src/acaciasaddle/ownership/_held.py
+++ b/src/acaciasaddle/ownership/_held.py
@@ -147,10 +147,6 @@
             clock_offset_ms=reading - self._reading_received_at * 1000 if self._reading else 0.0,
         )
 
-    def lease_lapsed(self) -> bool:
-        """Whether no lease of the upstream can be in force any more."""
-        return self._ctx.clock.now() > self.lapsed_after
-
     def lost(self) -> bool:
         """Whether the upstream is to be treated as lost."""
         expired = self.lapsed_after + LOSS_GRACE_S
