--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -90,7 +90,7 @@
 from acaciasaddle.peers import TcpPeerHub
 from acaciasaddle.peers import _connection
 from acaciasaddle.peers import connect_tcp
-from acaciasaddle.platform import HttpPlatform
+from acaciasaddle.http_table import HttpPlatform
 from acaciasaddle.wire import CallEnvelope
 from acaciasaddle.wire import KeepRecords
 from acaciasaddle.wire import KeepRows
--- a/features/steps/platform_http_steps.py
+++ b/features/steps/table_http_steps.py
@@ -16,9 +16,9 @@
 
 from acaciasaddle.errors import AcaciasaddleError
 from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.http_table import HttpPlatform
 from acaciasaddle.model import Row
-from acaciasaddle.platform import HttpPlatform
-from acaciasaddle.platform import Scan
+from acaciasaddle.table import Scan
 
 ROW = {"key": "a", "version": 3, "revision": 8, "value": {"write_id": "w"}}
 BODIES: dict[str, Any] = {
--- a/features/steps/platform_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -14,14 +14,14 @@
 from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.model import Row
-from acaciasaddle.platform import Table
-from acaciasaddle.platform import write_once
+from acaciasaddle.table import Table
+from acaciasaddle.table import write_once
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from acaciasaddle.platform import Scan
-    from acaciasaddle.platform import WriteResult
+    from acaciasaddle.table import Scan
+    from acaciasaddle.table import WriteResult
 
 
 class FaultyTable(Table):
@@ -59,7 +59,7 @@
             raise PlatformUnavailableError("down", step="table.read")
         return self.rows.get(key)
 
-    async def scan(self, prefix: str, *, since: int) -> Scan:
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
         raise NotImplementedError
 
     async def transact(
--- a/features/support/stage.py
+++ b/features/support/stage.py
@@ -139,7 +139,7 @@
         await self._step("after table read")
         return row
 
-    async def scan(self, prefix: str, *, since: int) -> Any:
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Any:
         await self._step("before table scan")
         scan = await super().scan(prefix, since=since)
         await self._step("after table scan")
--- a/src/acaciasaddle/dispatch/_headers.py
+++ b/src/acaciasaddle/dispatch/_headers.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
+from acaciasaddle.http_headers import HOP_BY_HOP
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -18,21 +20,6 @@
 SYSTEM_PREFIX = "acaciasaddle-"
 OUTCOME = "acaciasaddle-outcome"
 
-# RFC 9110, section 7.6.1, and the older names still in use.
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 # The system frames the body itself and waits for no interim answer.
 REPLACED_IN_REQUEST = frozenset({"content-length", "expect"})
 
--- a/src/acaciasaddle/emulator/_store.py
+++ b/src/acaciasaddle/emulator/_store.py
@@ -14,8 +14,8 @@
 from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.model import Row
-from acaciasaddle.platform import Scan
-from acaciasaddle.platform import Table
+from acaciasaddle.table import Scan
+from acaciasaddle.table import Table
 
 JsonObject = Mapping[str, Any]
 
@@ -121,7 +121,7 @@
         await trio.sleep(self.faults.half_delay_s)
         return row
 
-    async def scan(self, prefix: str, *, since: int) -> Scan:
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
         await self._before("table.scan")
         scan = Scan(revision=self.store.revision, rows=self.store.scan(prefix, since=since))
         await trio.sleep(self.faults.half_delay_s)
--- a/src/acaciasaddle/entry/_host.py
+++ b/src/acaciasaddle/entry/_host.py
@@ -21,6 +21,7 @@
 from acaciasaddle.entry._operator import OperatorApp
 from acaciasaddle.entry._serve import hypercorn_config
 from acaciasaddle.entry._serve import serve_application
+from acaciasaddle.http_table import HttpPlatform
 from acaciasaddle.kernel import Kernel
 from acaciasaddle.kernel import Service
 from acaciasaddle.mirror import Mirror
@@ -43,8 +44,7 @@
 from acaciasaddle.peers import TcpPeerHub
 from acaciasaddle.peers import connect_tcp
 from acaciasaddle.peers import listen_tcp
-from acaciasaddle.platform import HttpPlatform
-from acaciasaddle.platform import Table
+from acaciasaddle.table import Table
 
 if TYPE_CHECKING:
     from acaciasaddle.config import Settings
--- a/src/acaciasaddle/errors/_tree.py
+++ b/src/acaciasaddle/errors/_tree.py
@@ -61,6 +61,10 @@
         self.keys = keys
 
 
+class HistoryLostError(PlatformError):
+    """The platform no longer has the changes asked for; read everything again."""
+
+
 class PeerError(AcaciasaddleError):
     """Communication with another entry host failed."""
 
--- /dev/null
+++ b/src/acaciasaddle/fleet/__init__.py
@@ -0,0 +1,21 @@
+"""Upstreams of the fleet, and what a host knows of them."""
+
+from __future__ import annotations
+
+from acaciasaddle.fleet._types import ConfigurationChange
+from acaciasaddle.fleet._types import ConfigurationFeed
+from acaciasaddle.fleet._types import Registry
+from acaciasaddle.fleet._types import RegistryChange
+from acaciasaddle.fleet._types import UpstreamEntry
+from acaciasaddle.fleet._types import UpstreamLife
+from acaciasaddle.fleet._view import FleetView
+
+__all__ = [
+    "ConfigurationChange",
+    "ConfigurationFeed",
+    "FleetView",
+    "Registry",
+    "RegistryChange",
+    "UpstreamEntry",
+    "UpstreamLife",
+]
--- /dev/null
+++ b/src/acaciasaddle/fleet/_types.py
@@ -0,0 +1,82 @@
+"""What is known of the upstreams, and where it is learnt."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from acaciasaddle.routing import Configuration
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamLife:
+    """One life of an upstream: a restarted process holds and knows nothing of the one before.
+
+    ``started_ms`` is the time of day of its start in milliseconds. It is only compared for
+    equality, so a wrong clock does no harm.
+    """
+
+    upstream_id: str
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamEntry:
+    """An upstream as it registered itself.
+
+    ``slots`` is the number of requests that it runs at a time. It is slow for ``cold_s`` more
+    seconds after its start. A ``draining`` upstream takes no new work.
+    """
+
+    life: UpstreamLife
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    cold_s: float
+
+    @property
+    def upstream_id(self) -> str:
+        """The id under which it registered."""
+        return self.life.upstream_id
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationChange:
+    """The newest configuration, or ``None`` if nothing changed; read on from ``revision``."""
+
+    revision: int
+    configuration: Configuration | None
+    problem: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RegistryChange:
+    """Entries changed since a revision, or with ``complete`` all that there are.
+
+    The value of a removed or unusable entry is ``None``.
+    """
+
+    revision: int
+    complete: bool
+    entries: Mapping[str, UpstreamEntry | None]
+    problems: tuple[str, ...] = ()
+
+
+class ConfigurationFeed(ABC):
+    """Where operators put their configuration. Raises ``PlatformError``."""
+
+    @abstractmethod
+    async def changes(self, *, since: int, wait_s: float) -> ConfigurationChange:
+        """Return what changed after a revision (0: everything), waiting for it if need be."""
+
+
+class Registry(ABC):
+    """Where upstreams register themselves. Raises ``PlatformError``."""
+
+    @abstractmethod
+    async def changes(self, *, since: int) -> RegistryChange:
+        """Return what changed after a revision (0: everything)."""
--- /dev/null
+++ b/src/acaciasaddle/fleet/_view.py
@@ -0,0 +1,134 @@
+"""What one host believes about configuration, upstreams and owners, with its age."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.observe import get_logger
+from acaciasaddle.routing import RouteTable
+
+if TYPE_CHECKING:
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.fleet._types import RegistryChange
+    from acaciasaddle.fleet._types import UpstreamEntry
+    from acaciasaddle.keyspace import KeyMap
+    from acaciasaddle.routing import Configuration
+
+RETURN_LIMIT_S = 2.2
+"""Upstreams whose entries lapsed while the registry was away are back within about 2 s."""
+OUTAGE_S = 1.5
+"""A registry that could not be read for this long has been away: two reads have failed."""
+
+log = get_logger("fleet")
+
+
+class FleetView:
+    """The newest known state. ``changed`` is set, and replaced, on every change."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self.configuration: Configuration | None = None
+        self.routes: RouteTable | None = None
+        self.upstreams: dict[str, UpstreamEntry] = {}
+        self.owners: dict[str, KeyMap] = {}
+        self.changed = trio.Event()
+        self.registry_read_at: float | None = None
+        self._missing: dict[str, float] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether configuration and registry have been read since the start."""
+        return self.configuration is not None and self.registry_read_at is not None
+
+    def upstreams_of(self, service: str) -> list[UpstreamEntry]:
+        """Return the upstreams of a service that take new work."""
+        return [
+            entry
+            for entry in self.upstreams.values()
+            if entry.service == service and not entry.draining
+        ]
+
+    def apply_configuration(self, cfg: Configuration) -> None:
+        """Take a configuration if it is newer than the one in force."""
+        current = self.configuration
+        if current is not None and cfg.version <= current.version:
+            if cfg.version < current.version:
+                log.warning(
+                    "older configuration ignored", version=cfg.version, in_force=current.version
+                )
+            return
+        log.info("configuration in force", version=cfg.version, routes=len(cfg.routes))
+        self.configuration = cfg
+        self.routes = RouteTable(cfg=cfg)
+        self._notify()
+
+    def apply_owners(self, service: str, owners: KeyMap) -> None:
+        """Take the owners of a service's keys if they are newer than the known ones."""
+        current = self.owners.get(service)
+        if current is not None and owners.revision <= current.revision:
+            return
+        self.owners[service] = owners
+        self._notify()
+
+    def apply_registry(self, change: RegistryChange) -> None:
+        """Take changes of the registry, which has just been read."""
+        now = self._clock.now()
+        away = self.registry_read_at is not None and now - self.registry_read_at > OUTAGE_S
+        self.registry_read_at = now
+        removed = {name for name, entry in change.entries.items() if entry is None}
+        if change.complete:
+            removed |= self.upstreams.keys() - change.entries.keys()
+        for problem in change.problems:
+            log.warning("entry not usable", reason=problem)
+        changed = False
+        for name, entry in change.entries.items():
+            if entry is not None:
+                self._missing.pop(name, None)
+                changed |= self._put(entry)
+        for name in removed & self.upstreams.keys():
+            if away:
+                self._missing.setdefault(name, now)
+            elif name not in self._missing:
+                changed |= self._remove(name, "removed")
+        for name, since in list(self._missing.items()):
+            if now - since > RETURN_LIMIT_S:
+                del self._missing[name]
+                changed |= self._remove(name, "did not come back after the outage")
+        if changed:
+            self._notify()
+
+    def _put(self, entry: UpstreamEntry) -> bool:
+        known = self.upstreams.get(entry.upstream_id)
+        if known is not None and entry.life.started_ms < known.life.started_ms:
+            log.warning("entry of an earlier life ignored", upstream=entry.upstream_id)
+            return False
+        self.upstreams[entry.upstream_id] = entry
+        if known is None:
+            log.info(
+                "upstream joined",
+                upstream=entry.upstream_id,
+                service=entry.service,
+                address=entry.address,
+                draining=entry.draining,
+            )
+        elif known.life != entry.life:
+            log.info("upstream started again", upstream=entry.upstream_id)
+        elif entry.draining and not known.draining:
+            log.info("upstream draining", upstream=entry.upstream_id)
+        return known is None or (known.life, known.draining, known.address) != (
+            entry.life,
+            entry.draining,
+            entry.address,
+        )
+
+    def _remove(self, name: str, reason: str) -> bool:
+        if self.upstreams.pop(name, None) is None:
+            return False
+        log.info("upstream gone", upstream=name, reason=reason)
+        return True
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
--- /dev/null
+++ b/src/acaciasaddle/forward/__init__.py
@@ -0,0 +1,21 @@
+"""Forwarding of requests straight to the upstreams that run them."""
+
+from __future__ import annotations
+
+from acaciasaddle.forward._budget import BudgetTerms
+from acaciasaddle.forward._budget import RepeatBudget
+from acaciasaddle.forward._forwarder import Forwarder
+from acaciasaddle.forward._types import CallerRequest
+from acaciasaddle.forward._types import Dialect
+from acaciasaddle.forward._types import Reply
+from acaciasaddle.forward._types import RequestTerms
+
+__all__ = [
+    "BudgetTerms",
+    "CallerRequest",
+    "Dialect",
+    "Forwarder",
+    "RepeatBudget",
+    "Reply",
+    "RequestTerms",
+]
--- /dev/null
+++ b/src/acaciasaddle/http1/__init__.py
@@ -0,0 +1,9 @@
+"""HTTP/1.1 on the connections that the system opens."""
+
+from __future__ import annotations
+
+from acaciasaddle.http1._client import ClientConnection
+from acaciasaddle.http1._client import RawHeaders
+from acaciasaddle.http1._client import Response
+
+__all__ = ["ClientConnection", "RawHeaders", "Response"]
--- /dev/null
+++ b/src/acaciasaddle/http1/_client.py
@@ -0,0 +1,229 @@
+"""One HTTP/1.1 client connection over a trio stream.
+
+The caller learns whether a request was sent, and a response is matched to its request by an
+identifier. httpcore offers neither, so h11, its parser, is used directly.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.errors import UpstreamUnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+RECEIVE_BYTES = 65_536
+MAX_RESPONSE_HEADER_BYTES = 65_536
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Responses are kept in memory until they are complete; hosts have about 200 MB."""
+SMALL_BODY_BYTES = 8_192
+"""A body up to this size fits the send buffers of both ends, so it is sent without a task."""
+
+RawHeaders = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Response:
+    """A complete response. Header names in ``fields`` are in lower case."""
+
+    status: int
+    reason: bytes
+    headers: RawHeaders
+    fields: dict[str, str]
+    body: bytes
+
+
+class ClientConnection:
+    """Sends one request at a time. Errors are ``UpstreamError`` with the known outcome."""
+
+    def __init__(self, *, stream: trio.SocketStream, peer: str) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES
+        )
+        self.reusable = False
+        self.keep_alive_s: float | None = None
+        self.idle_since = trio.current_time()
+        self.requests = 0
+
+    @classmethod
+    async def connect(cls, *, address: str, timeout_s: float) -> ClientConnection:
+        """Connect to ``ip:port``. Raises ``UpstreamUnreachableError``."""
+        host, _, port = address.rpartition(":")
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await trio.open_tcp_stream(host, int(port), happy_eyeballs_delay=timeout_s)
+        except (OSError, trio.TooSlowError) as exc:
+            raise UpstreamUnreachableError(
+                f"cannot connect: {str(exc) or 'no answer'}",
+                outcome=Outcome.NOT_RUN,
+                step="http1.connect",
+                peer=address,
+            ) from exc
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(stream=stream, peer=address)
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is open and has received nothing since its last response."""
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN | select.POLLHUP)
+        return not poll.poll(0)
+
+    def abort(self) -> None:
+        """Close the connection with a reset, which discards bytes that are still on their way."""
+        linger = struct.pack("ii", 1, 0)
+        try:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            # The socket is closed already; there is nothing left to discard.
+            return
+        self._stream.socket.close()
+
+    async def exchange(
+        self,
+        *,
+        method: str,
+        target: str,
+        headers: Sequence[tuple[bytes, bytes]],
+        body: bytes = b"",
+        matches: Callable[[dict[str, str]], bool] | None = None,
+    ) -> Response:
+        """Send a request and return its response.
+
+        Responses for which ``matches`` is false answer earlier requests and are dropped.
+        """
+        self.reusable = False
+        self.requests += 1
+        request = h11.Request(method=method, target=target, headers=list(headers))
+        try:
+            head = self._parser.send(request) or b""
+            data = body and (self._parser.send(h11.Data(data=body)) or b"")
+            self._parser.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as exc:
+            raise UpstreamError(
+                f"cannot send the request: {exc}",
+                outcome=Outcome.NOT_RUN,
+                step="http1.send",
+                peer=self._peer,
+            ) from exc
+        try:
+            if len(data) <= SMALL_BODY_BYTES:
+                await self._stream.send_all(head + data)
+                return await self._receive(request, matches)
+            return await self._send_and_receive(request, head + data, matches)
+        except h11.RemoteProtocolError as exc:
+            raise self._unknown(f"malformed response: {exc}") from exc
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise self._unknown("connection reset") from exc
+
+    async def _send_and_receive(
+        self,
+        request: h11.Request,
+        data: bytes,
+        matches: Callable[[dict[str, str]], bool] | None,
+    ) -> Response:
+        sent = False
+
+        async def send() -> None:
+            nonlocal sent
+            try:
+                await self._stream.send_all(data)
+                sent = True
+            except trio.BrokenResourceError:
+                # The upstream stopped reading; its response, if there is one, is still received.
+                return
+
+        async with trio.open_nursery(strict_exception_groups=False) as nursery:
+            nursery.start_soon(send)
+            response = await self._receive(request, matches)
+            nursery.cancel_scope.cancel()
+        if not sent:
+            # The rest of the body is still due on this connection.
+            self.reusable = False
+        return response
+
+    async def _receive(
+        self, request: h11.Request, matches: Callable[[dict[str, str]], bool] | None
+    ) -> Response:
+        while True:
+            response, framed = await self._receive_one()
+            if matches is None or matches(response.fields):
+                break
+            # The parser of the next response takes over the bytes received so far.
+            rest, closed = self._parser.trailing_data
+            if closed or not framed:
+                raise self._unknown("the connection ended with the response to another request")
+            self._parser = h11.Connection(
+                h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEADER_BYTES
+            )
+            self._parser.send(
+                h11.Request(method=request.method, target="/", headers=[("Host", "x")])
+            )
+            self._parser.send(h11.EndOfMessage())
+            if rest:
+                self._parser.receive_data(rest)
+        self._note_reuse(response, framed)
+        return response
+
+    def _note_reuse(self, response: Response, framed: bool) -> None:
+        self.idle_since = trio.current_time()
+        self.keep_alive_s = _keep_alive_s(response.fields.get("keep-alive", ""))
+        done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+        if done and framed and not self._parser.trailing_data[0]:
+            self._parser.start_next_cycle()
+            self.reusable = True
+
+    async def _receive_one(self) -> tuple[Response, bool]:
+        """Return the next final response, and whether its end was marked by its framing."""
+        head: h11.Response | None = None
+        body = bytearray()
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._parser.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise self._unknown("the response is larger than this host can hold")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                break
+            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                raise self._unknown("connection closed before the response")
+        fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+        framed = "content-length" in fields or "transfer-encoding" in fields
+        framed = framed or head.status_code in (204, 304)
+        response = Response(
+            status=head.status_code,
+            reason=bytes(head.reason),
+            headers=list(head.headers.raw_items()),
+            fields=fields,
+            body=bytes(body),
+        )
+        return response, framed
+
+    def _unknown(self, reason: str) -> UpstreamError:
+        return UpstreamError(reason, outcome=Outcome.UNKNOWN, step="http1.receive", peer=self._peer)
+
+
+def _keep_alive_s(value: str) -> float | None:
+    """Return the timeout of a ``Keep-Alive`` header in seconds, or ``None``."""
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.lower() == "timeout" and seconds.strip().isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/src/acaciasaddle/http_table/__init__.py
@@ -0,0 +1,7 @@
+"""Client of the project's own table, object store and host list over HTTP."""
+
+from __future__ import annotations
+
+from acaciasaddle.http_table._client import HttpPlatform
+
+__all__ = ["HttpPlatform"]
--- a/src/acaciasaddle/platform/_http.py
+++ b/src/acaciasaddle/http_table/_client.py
@@ -18,11 +18,11 @@
 from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.model import Row
-from acaciasaddle.platform._api import HostEntry
-from acaciasaddle.platform._api import HostList
-from acaciasaddle.platform._api import ObjectStore
-from acaciasaddle.platform._api import Scan
-from acaciasaddle.platform._api import Table
+from acaciasaddle.table._api import HostEntry
+from acaciasaddle.table._api import HostList
+from acaciasaddle.table._api import ObjectStore
+from acaciasaddle.table._api import Scan
+from acaciasaddle.table._api import Table
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -120,7 +120,7 @@
             return None
         return self._parse(_ROW, answer, step="table.read")
 
-    async def scan(self, prefix: str, *, since: int) -> Scan:
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
         target = f"/rows?prefix={quote(prefix, safe='')}&since={since}"
         answer = await self._read("table.scan", target)
         return self._parse(_SCAN, answer, step="table.scan")
--- /dev/null
+++ b/src/acaciasaddle/keyspace/__init__.py
@@ -0,0 +1,39 @@
+"""Ownership of keys: who owns which range, planning of moves, and their orders."""
+
+from __future__ import annotations
+
+from acaciasaddle.keyspace._balance import Candidate
+from acaciasaddle.keyspace._balance import Move
+from acaciasaddle.keyspace._balance import plan_moves
+from acaciasaddle.keyspace._balance import split
+from acaciasaddle.keyspace._coordinator import Coordinator
+from acaciasaddle.keyspace._load import KeyLoad
+from acaciasaddle.keyspace._load import LoadBook
+from acaciasaddle.keyspace._load import LoadSample
+from acaciasaddle.keyspace._types import KEY_COUNT
+from acaciasaddle.keyspace._types import OWNERS_TABLE
+from acaciasaddle.keyspace._types import FencedError
+from acaciasaddle.keyspace._types import KeyMap
+from acaciasaddle.keyspace._types import KeyOrders
+from acaciasaddle.keyspace._types import KeyRange
+from acaciasaddle.keyspace._types import Owner
+from acaciasaddle.keyspace._types import Span
+
+__all__ = [
+    "KEY_COUNT",
+    "OWNERS_TABLE",
+    "Candidate",
+    "Coordinator",
+    "FencedError",
+    "KeyLoad",
+    "KeyMap",
+    "KeyOrders",
+    "KeyRange",
+    "LoadBook",
+    "LoadSample",
+    "Move",
+    "Owner",
+    "Span",
+    "plan_moves",
+    "split",
+]
--- /dev/null
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -0,0 +1,481 @@
+"""Assigns keys to upstreams: one host at a time, chosen by a conditional write.
+
+The coordinator writes a change of owners to the table before it gives any order. A host that
+lost the role therefore cannot change owners, and its renewals of keys that have moved on are
+refused by upstreams that released them at a higher fencing token. Where a release does not get
+through, the keys wait until the last lease has surely ended.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+import trio
+
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import PlatformError
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.errors import WriteOutcomeUnknownError
+from acaciasaddle.kernel import Service
+from acaciasaddle.keyspace._balance import candidates_by_speed
+from acaciasaddle.keyspace._balance import plan_moves
+from acaciasaddle.keyspace._leases import Tenure
+from acaciasaddle.keyspace._leases import lease_end
+from acaciasaddle.keyspace._types import OWNERS_TABLE
+from acaciasaddle.keyspace._types import FencedError
+from acaciasaddle.keyspace._types import KeyMap
+from acaciasaddle.keyspace._types import Owner
+from acaciasaddle.keyspace._types import Span
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.fleet import FleetView
+    from acaciasaddle.keyspace._balance import Move
+    from acaciasaddle.keyspace._load import LoadBook
+    from acaciasaddle.keyspace._types import KeyOrders
+    from acaciasaddle.table import Table
+
+COORDINATOR_TABLE = "coordination"
+COORDINATOR_KEY = f"{COORDINATOR_TABLE}/coordinator"
+
+ROLE_LEASE_S = 2.0
+"""Time after its last successful write for which a coordinator goes on giving orders."""
+ROLE_RENEWAL_S = 0.8
+"""Two writes may fail within a role lease."""
+TAKEOVER_S = 2.2
+"""A host takes over a role whose row has not changed for this long."""
+ROLE_POLL_S = 0.6
+TICK_S = 0.25
+KEY_LEASE_S = 4.5
+"""Outlasts the loss of a coordinator: 2.2 s until the takeover, a poll and the first renewals."""
+KEY_RENEWAL_S = 1.0
+ORDER_TIMEOUT_S = 0.8
+RELEASE_TIMEOUT_S = 3.0
+"""A release is answered when the work in progress has ended."""
+RELEASE_RETRY_S = 0.2
+LOST_AFTER_S = 1.2
+"""Failures for this long, two orders in a row, make an upstream lost."""
+STORE_TROUBLE_S = 1.2
+"""Without a successful write for this long, renewals ask for the longest lease."""
+PROBE_INTERVAL_S = 1.0
+
+log = get_logger("coordinator")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyChange:
+    """One span whose keys change hands in a service."""
+
+    service: str
+    span: Span
+
+
+class Coordinator(Service):
+    """Competes for the role and, while it has it, assigns keys and renews their leases."""
+
+    name: ClassVar[str] = "coordinator"
+
+    def __init__(
+        self,
+        *,
+        member: str,
+        address: str,
+        view: FleetView,
+        table: Table,
+        orders: KeyOrders,
+        clock: Clock,
+        load: LoadBook,
+        max_lease_s: float,
+    ) -> None:
+        """``member`` is ``<host id>@<incarnation>``; ``max_lease_s`` bounds a lease of keys."""
+        self._member = member
+        self._address = address
+        self._view = view
+        self._table = table
+        self._orders = orders
+        self._clock = clock
+        self._load = load
+        self._max_lease_s = max_lease_s
+        self._role_version = 0
+        self._role_value: dict[str, Any] = {}
+        self._seen_at = 0.0
+        self._held_until = 0.0
+        self._written_at = 0.0
+        self._owners: dict[str, KeyMap] = {}
+        self._tenures: dict[Owner, Tenure] = {}
+        self._completed: list[KeyChange] = []
+        self._writing = trio.Lock()
+        self._stopping = False
+        self.leading = False
+
+    @property
+    def coordinator_address(self) -> str:
+        """Address of the host that has the role, as far as known."""
+        return str(self._role_value.get("address", ""))
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        task_status.started()
+        while True:
+            try:
+                await self._compete()
+            except PlatformError as exc:
+                log.warning("role not decided", reason=str(exc))
+                await trio.sleep(ROLE_POLL_S)
+                continue
+            if self.leading:
+                await self._lead()
+
+    async def stop(self) -> None:
+        """Give the role back, so that another host need not wait for it to lapse."""
+        self._stopping = True
+        if not self.leading:
+            return
+        self.leading = False
+        self._held_until = 0.0
+        try:
+            await self._write_role({}, {}, released=True)
+            log.info("role given back")
+        except PlatformError as exc:
+            log.warning("role not given back", reason=str(exc))
+
+    # The role.
+
+    async def _compete(self) -> None:
+        """Follow the role's row until this host may take it, then try once."""
+        row = await self._table.read(COORDINATOR_KEY)
+        now = self._clock.now()
+        version = row.version if row is not None else 0
+        if version != self._role_version or self._seen_at == 0.0:
+            self._role_version, self._seen_at = version, now
+            self._role_value = dict(row.value) if row is not None else {}
+        if self._stopping or not self._view.complete:
+            await trio.sleep(TICK_S)
+            return
+        earlier = str(self._role_value.get("member", ""))
+        own_earlier_life = earlier.partition("@")[0] == self._member.partition("@")[0]
+        vacant = not earlier or own_earlier_life
+        if not vacant and now - self._seen_at < TAKEOVER_S:
+            await trio.sleep(ROLE_POLL_S)
+            return
+        started = self._clock.now()
+        try:
+            await self._write_role({}, {})
+        except ConditionFailedError:
+            log.info("another host took the role")
+            return
+        await self._load_owners(taken_at=started, vacant=not earlier)
+        self.leading = True
+        log.info("role taken", previous=earlier, version=self._role_version)
+
+    async def _load_owners(self, *, taken_at: float, vacant: bool) -> None:
+        scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
+        self._owners = {
+            row.key.partition("/")[2]: KeyMap.from_json(row.value, revision=row.revision)
+            for row in scan.rows
+        }
+        self._tenures.clear()
+        self._completed.clear()
+        # The previous coordinator may have renewed until its role lapsed, for the longest lease.
+        lapse_s = 0.0 if vacant else ROLE_LEASE_S
+        until = lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s)
+        for owners in self._owners.values():
+            for span in owners.spans:
+                for owner in (span.owner, span.previous):
+                    if owner is not None:
+                        self._tenures.setdefault(owner, Tenure(held_until=until))
+
+    async def _write_role(
+        self,
+        conditions: dict[str, int],
+        puts: dict[str, Any],
+        *,
+        released: bool = False,
+    ) -> int:
+        """Write the role's row, with other rows, if this host's view of it is current."""
+        async with self._writing:
+            started = self._clock.now()
+            member = "" if released else self._member
+            value = {"member": member, "address": self._address, "at": started}
+            rows = await self._table.transact(
+                conditions={COORDINATOR_KEY: self._role_version, **conditions},
+                puts={COORDINATOR_KEY: value, **puts},
+            )
+            self._role_version = rows[0].version
+            self._role_value = value
+            self._seen_at = self._written_at = started
+            self._held_until = 0.0 if released else started + ROLE_LEASE_S
+            return rows[0].version
+
+    async def _settle_role(self) -> bool:
+        """After a write with an unknown outcome: take over what it did, or give up the role."""
+        row = await self._table.read(COORDINATOR_KEY)
+        if row is None or row.value.get("member") != self._member:
+            return False
+        self._role_version = row.version
+        scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
+        for found in scan.rows:
+            service = found.key.partition("/")[2]
+            current = self._owners.get(service)
+            if current is None or current.revision != found.revision:
+                # The lost write took effect; its orders are given from the table's state.
+                self._owners[service] = KeyMap.from_json(found.value, revision=found.revision)
+        return True
+
+    # While leading.
+
+    async def _lead(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for service, owners in self._owners.items():
+                for span in owners.spans:
+                    if span.moving:
+                        nursery.start_soon(self._carry_out, KeyChange(service=service, span=span))
+            nursery.start_soon(self._renew_leases, nursery)
+            nursery.start_soon(self._probe_lost)
+            unknown = False
+            while self.leading:
+                try:
+                    if unknown and not await self._settle_role():
+                        break
+                    unknown = False
+                    await self._round(nursery)
+                except ConditionFailedError as exc:
+                    log.info("role lost", reason=str(exc))
+                    break
+                except WriteOutcomeUnknownError as exc:
+                    log.warning("write not confirmed", reason=str(exc))
+                    unknown = True
+                except PlatformError as exc:
+                    log.warning("table not available", reason=str(exc))
+                await trio.sleep(TICK_S)
+            self.leading = False
+            nursery.cancel_scope.cancel()
+        self._seen_at = 0.0
+
+    async def _round(self, nursery: trio.Nursery) -> None:
+        """Plan, write and start one round of changes; renew the role if it is due."""
+        now = self._clock.now()
+        planned: list[KeyChange] = []
+        owners = dict(self._owners)
+        for change in self._completed:
+            owners[change.service] = _settled(owners[change.service], change.span)
+        completed, self._completed = self._completed, []
+        cfg = self._view.configuration
+        keyed = [svc.name for svc in cfg.services.values() if svc.keyed] if cfg else []
+        for service in keyed:
+            current = owners.get(service, KeyMap(spans=(), fence=0, revision=0))
+            owners[service], changes = self._plan(service, current, now)
+            planned += changes
+        changed = {
+            name: value for name, value in owners.items() if value is not self._owners.get(name)
+        }
+        if not changed and now - self._written_at < ROLE_RENEWAL_S:
+            return
+        conditions = {
+            f"{OWNERS_TABLE}/{name}": self._owners[name].revision if name in self._owners else 0
+            for name in changed
+        }
+        puts = {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in changed.items()}
+        try:
+            revision = await self._write_role(conditions, puts)
+        except PlatformError:
+            self._completed = completed + self._completed
+            raise
+        for name, value in changed.items():
+            self._owners[name] = replace(value, revision=revision)
+            self._view.apply_owners(name, self._owners[name])
+        for change in planned:
+            log.info(
+                "keys move",
+                service=change.service,
+                first=change.span.keys.first,
+                last=change.span.keys.last,
+                fence=change.span.fence,
+                source=change.span.previous.life.upstream_id if change.span.previous else "",
+                target=change.span.owner.life.upstream_id,
+                revision=revision,
+            )
+            nursery.start_soon(self._carry_out, change)
+
+    def _plan(self, service: str, owners: KeyMap, now: float) -> tuple[KeyMap, list[KeyChange]]:
+        usable = {}
+        for entry in self._view.upstreams_of(service):
+            owner = Owner(life=entry.life, address=entry.address)
+            tenure = self._tenures.get(owner)
+            if tenure is None or not tenure.lost:
+                usable[owner] = entry.slots
+        times = self._load.response_times(service, now=now)
+        slowness = {owner: times.relative(owner.life.upstream_id) for owner in usable}
+        moves = plan_moves(
+            owners=owners,
+            candidates=candidates_by_speed(usable, slowness),
+            load=self._load.keys(service, now=now),
+            balance=True,
+        )
+        changes = []
+        for move in moves:
+            owners, change = _apply(owners, service, move)
+            changes.append(change)
+        return owners, changes
+
+    async def _carry_out(self, change: KeyChange) -> None:
+        """Take the keys of a moving span from their previous owner and grant them to the next."""
+        span = change.span
+        handover = ""
+        if span.previous is not None:
+            handover = await self._vacate(span, span.previous)
+        while self._is_current(change):
+            try:
+                await self._grant(span, handover=handover)
+            except FencedError as exc:
+                log.warning("grant refused", reason=str(exc), fence=span.fence)
+                self._tenure(span.owner).lost = True
+                return
+            except UpstreamError as exc:
+                log.warning("grant failed", reason=str(exc), fence=span.fence)
+                tenure = self._tenure(span.owner)
+                if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
+                    log.warning("upstream lost", upstream=span.owner.life.upstream_id)
+                if tenure.lost:
+                    self._abandon(change)
+                    return
+                await trio.sleep(RELEASE_RETRY_S)
+                continue
+            self._completed.append(change)
+            return
+
+    def _abandon(self, change: KeyChange) -> None:
+        """Let the next round move keys again whose new owner cannot be reached."""
+        owners = self._owners[change.service]
+        settled = replace(change.span, moving=False, previous=None)
+        self._owners[change.service] = owners.replaced(
+            change.span.keys, [settled], fence=owners.fence
+        )
+
+    async def _vacate(self, span: Span, owner: Owner) -> str:
+        """Release keys; return the handover, or nothing once the leases have surely ended."""
+        tenure = self._tenure(owner)
+        # Later renewals leave these keys out, so only the leases granted so far matter.
+        until = tenure.held_until
+        while not self._life_is_over(owner):
+            left = until - self._clock.now()
+            if left <= 0:
+                log.info(
+                    "leases ended",
+                    upstream=owner.life.upstream_id,
+                    first=span.keys.first,
+                    fence=span.fence,
+                )
+                return ""
+            try:
+                return await self._orders.release(
+                    owner.address,
+                    span.keys,
+                    fence=span.fence,
+                    timeout_s=max(0.05, min(RELEASE_TIMEOUT_S, left)),
+                )
+            except UpstreamError as exc:
+                log.warning("release failed", reason=str(exc), fence=span.fence)
+            await trio.sleep(min(RELEASE_RETRY_S, max(0.0, until - self._clock.now())))
+        return ""
+
+    def _life_is_over(self, owner: Owner) -> bool:
+        entry = self._view.upstreams.get(owner.life.upstream_id)
+        return entry is not None and entry.life.started_ms > owner.life.started_ms
+
+    def _is_current(self, change: KeyChange) -> bool:
+        owners = self._owners.get(change.service)
+        span = owners.find(change.span.keys.first) if owners else None
+        return (
+            span is not None and span.fence == change.span.fence and span.keys == change.span.keys
+        )
+
+    def _tenure(self, owner: Owner) -> Tenure:
+        return self._tenures.setdefault(owner, Tenure(held_until=self._clock.now()))
+
+    async def _grant(self, span: Span, *, handover: str = "") -> None:
+        """Grant or renew the keys of a span while the role is surely held."""
+        now = self._clock.now()
+        if now >= self._held_until:
+            raise UpstreamError(
+                "the role may have lapsed",
+                outcome=Outcome.NOT_RUN,
+                step="coordinator.grant",
+                peer=span.owner.address,
+            )
+        trouble = now - self._written_at > STORE_TROUBLE_S
+        lease_s = self._max_lease_s if trouble else KEY_LEASE_S
+        tenure = self._tenure(span.owner)
+        tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
+        await self._orders.grant(
+            span.owner.address,
+            span.keys,
+            fence=span.fence,
+            lease_s=lease_s,
+            handover=handover,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        tenure.answered()
+
+    async def _renew_leases(self, nursery: trio.Nursery) -> None:
+        while True:
+            by_owner: dict[Owner, list[tuple[str, Span]]] = {}
+            for service, owners in self._owners.items():
+                for span in owners.spans:
+                    if not span.moving:
+                        by_owner.setdefault(span.owner, []).append((service, span))
+            for owner, spans in by_owner.items():
+                tenure = self._tenure(owner)
+                if not tenure.renewing and not tenure.lost:
+                    tenure.renewing = True
+                    nursery.start_soon(self._renew, owner, tenure, spans)
+            await trio.sleep(KEY_RENEWAL_S)
+
+    async def _renew(self, owner: Owner, tenure: Tenure, spans: list[tuple[str, Span]]) -> None:
+        try:
+            for service, span in spans:
+                if tenure.lost or not self._is_current(KeyChange(service=service, span=span)):
+                    continue
+                await self._grant(span)
+        except FencedError as exc:
+            log.warning("renewal refused", reason=str(exc), fence=span.fence)
+            tenure.lost = True
+        except UpstreamError as exc:
+            log.warning("renewal failed", reason=str(exc), upstream=owner.life.upstream_id)
+            if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
+                log.warning("upstream lost", upstream=owner.life.upstream_id)
+                self._orders.forget(owner.address)
+        finally:
+            tenure.renewing = False
+
+    async def _probe_lost(self) -> None:
+        """Trust lost upstreams again once they answer."""
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S)
+            registered = {entry.life: entry for entry in self._view.upstreams.values()}
+            for owner, tenure in list(self._tenures.items()):
+                if not tenure.lost or owner.life not in registered:
+                    continue
+                if await self._orders.reachable(owner.address, timeout_s=ORDER_TIMEOUT_S):
+                    log.info("upstream reachable again", upstream=owner.life.upstream_id)
+                    tenure.answered()
+
+
+def _settled(owners: KeyMap, span: Span) -> KeyMap:
+    """Return the map with a move marked as done."""
+    current = owners.find(span.keys.first)
+    if current is None or current.fence != span.fence or current.keys != span.keys:
+        return owners
+    settled = replace(current, moving=False, previous=None)
+    return owners.replaced(span.keys, [settled], fence=owners.fence)
+
+
+def _apply(owners: KeyMap, service: str, move: Move) -> tuple[KeyMap, KeyChange]:
+    fence = owners.fence + 1
+    span = Span(keys=move.keys, owner=move.target, fence=fence, moving=True, previous=move.source)
+    return owners.replaced(move.keys, [span], fence=fence), KeyChange(service=service, span=span)
--- /dev/null
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -0,0 +1,202 @@
+"""Ranges of keys, their owners, and the orders that make an upstream an owner."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from bisect import bisect_right
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.fleet._types import UpstreamLife
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from acaciasaddle.model._rows import JsonObject
+
+KEY_COUNT = 65_536
+"""Keys are numbers from 0 to 65,535."""
+OWNERS_TABLE = "ownership"
+"""Holds one row for each keyed service."""
+
+
+class FencedError(UpstreamError):
+    """The upstream has seen a higher fencing token on one of the keys."""
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message, outcome=Outcome.NOT_RUN, step=step, peer=peer)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class KeyRange:
+    """Keys from ``first`` to ``last``, both included."""
+
+    first: int
+    last: int
+
+    def __contains__(self, key: int) -> bool:
+        return self.first <= key <= self.last
+
+    @property
+    def size(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Owner:
+    """A life of an upstream and the address at which it takes orders."""
+
+    life: UpstreamLife
+    address: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Span:
+    """A range of keys with one owner.
+
+    While the keys move, ``moving`` is true and ``previous`` is the owner that they leave, if there
+    is one; the new owner has not been granted them yet.
+    """
+
+    keys: KeyRange
+    owner: Owner
+    fence: int
+    moving: bool = False
+    previous: Owner | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyMap:
+    """The spans of a service in ascending order, and the highest fencing token used so far."""
+
+    spans: tuple[Span, ...]
+    fence: int
+    revision: int
+
+    def find(self, key: int) -> Span | None:
+        """Return the span that holds a key, or ``None`` if the key has no owner."""
+        index = bisect_right(self.spans, key, key=lambda span: span.keys.first) - 1
+        if index < 0 or key not in self.spans[index].keys:
+            return None
+        return self.spans[index]
+
+    def gaps(self) -> list[KeyRange]:
+        """Return the ranges without an owner."""
+        gaps = []
+        start = 0
+        for span in self.spans:
+            if span.keys.first > start:
+                gaps.append(KeyRange(start, span.keys.first - 1))
+            start = span.keys.last + 1
+        if start < KEY_COUNT:
+            gaps.append(KeyRange(start, KEY_COUNT - 1))
+        return gaps
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the JSON value; owners are listed once and referred to by index."""
+        owners: dict[Owner, int] = {}
+        spans = []
+        for span in self.spans:
+            owner = owners.setdefault(span.owner, len(owners))
+            previous = -1
+            if span.previous is not None:
+                previous = owners.setdefault(span.previous, len(owners))
+            spans.append(
+                [span.keys.first, span.keys.last, owner, span.fence, int(span.moving), previous]
+            )
+        return {
+            "fence": self.fence,
+            "owners": [
+                [owner.life.upstream_id, owner.life.started_ms, owner.address] for owner in owners
+            ],
+            "spans": spans,
+        }
+
+    @classmethod
+    def from_json(cls, value: JsonObject, *, revision: int) -> KeyMap:
+        """Read the JSON value."""
+        owners = [
+            Owner(life=UpstreamLife(upstream_id=name, started_ms=started), address=address)
+            for name, started, address in value["owners"]
+        ]
+        spans = tuple(
+            Span(
+                keys=KeyRange(first, last),
+                owner=owners[owner],
+                fence=fence,
+                moving=bool(moving),
+                previous=owners[previous] if previous >= 0 else None,
+            )
+            for first, last, owner, fence, moving, previous in value["spans"]
+        )
+        return cls(spans=spans, fence=value["fence"], revision=revision)
+
+    def replaced(self, keys: KeyRange, spans: Iterable[Span], *, fence: int) -> KeyMap:
+        """Return a map in which ``keys`` is cut out of its spans and ``spans`` take its place."""
+        result: list[Span] = []
+        for span in self.spans:
+            result.extend(_without(span, keys))
+        result.extend(spans)
+        result.sort(key=lambda span: span.keys.first)
+        return KeyMap(spans=tuple(result), fence=max(fence, self.fence), revision=self.revision)
+
+
+def _without(span: Span, keys: KeyRange) -> list[Span]:
+    if span.keys.last < keys.first or span.keys.first > keys.last:
+        return [span]
+    parts = []
+    if span.keys.first < keys.first:
+        parts.append(KeyRange(span.keys.first, keys.first - 1))
+    if span.keys.last > keys.last:
+        parts.append(KeyRange(keys.last + 1, span.keys.last))
+    return [
+        Span(
+            keys=part,
+            owner=span.owner,
+            fence=span.fence,
+            moving=span.moving,
+            previous=span.previous,
+        )
+        for part in parts
+    ]
+
+
+class KeyOrders(ABC):
+    """Orders to upstreams. Failures are ``UpstreamError``; an unknown one may be carried out."""
+
+    @abstractmethod
+    async def grant(
+        self,
+        address: str,
+        keys: KeyRange,
+        *,
+        fence: int,
+        lease_s: float,
+        handover: str,
+        timeout_s: float,
+    ) -> None:
+        """Grant or renew keys for a time that runs from the arrival of the order.
+
+        ``handover`` is what the previous owner returned on release, or empty. Raises
+        ``FencedError``.
+        """
+
+    @abstractmethod
+    async def release(self, address: str, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
+        """Take keys back and return the handover, once the work in progress on them has ended.
+
+        The upstream refuses later grants of these keys with a lower fencing token.
+        """
+
+    @abstractmethod
+    async def reachable(self, address: str, *, timeout_s: float) -> bool:
+        """Whether an upstream accepts a connection."""
+
+    @abstractmethod
+    def forget(self, address: str) -> None:
+        """Close the connection to an upstream."""
--- a/src/acaciasaddle/mirror/_mirror.py
+++ b/src/acaciasaddle/mirror/_mirror.py
@@ -38,8 +38,8 @@
     from acaciasaddle.model import UnitAssignment
     from acaciasaddle.model import UpstreamId
     from acaciasaddle.peers import PeerHub
-    from acaciasaddle.platform import Scan
-    from acaciasaddle.platform import Table
+    from acaciasaddle.table import Scan
+    from acaciasaddle.table import Table
     from acaciasaddle.wire import Call
     from acaciasaddle.wire import Reply
 
--- /dev/null
+++ b/src/acaciasaddle/node/__main__.py
@@ -0,0 +1,26 @@
+"""Runs ``python -m acaciasaddle.node SETTINGS``, without the imports of the command line."""
+
+from __future__ import annotations
+
+import sys
+
+from acaciasaddle.errors import ConfigError
+from acaciasaddle.node import run_node
+
+USAGE = "usage: python -m acaciasaddle.node SETTINGS"
+
+
+def main() -> int:
+    """Run a node; returns the exit code."""
+    if len(sys.argv) != 2:
+        print(USAGE, file=sys.stderr)
+        return 2
+    try:
+        run_node(sys.argv[1])
+    except ConfigError as exc:
+        print(exc, file=sys.stderr)
+        return 2
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/src/acaciasaddle/node/_settings.py
@@ -0,0 +1,65 @@
+"""Settings of a routing node: JSON with comments, checked whole."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Annotated
+from typing import Literal
+
+import msgspec
+
+from acaciasaddle.errors import ConfigError
+
+if TYPE_CHECKING:
+    import os
+
+_COMMENT_LINE = re.compile(r"^[ \t]*//.*$", re.MULTILINE)
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+"""``ip:port`` with an IP number."""
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds that the platform promises or demands, in seconds unless named otherwise."""
+
+    drain_s: Seconds = 2.0
+    grace_s: Seconds = 6.0
+    max_lease_s: Seconds = 10.0
+    repeat_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
+    repeat_window_s: Seconds = 10.0
+    repeat_slack: Annotated[float, msgspec.Meta(ge=0)] = 64.0
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one node. ``ports`` are free for messages between nodes."""
+
+    host_id: str
+    data_centre: str
+    caller_address: Address
+    readiness_address: Address
+    ip: str
+    ports: tuple[int, int]
+    platform_address: Address
+    bounds: Bounds = Bounds()
+    log_level: Literal["debug", "info", "warning"] = "info"
+
+
+def load_node_settings(path: str | os.PathLike[str]) -> NodeSettings:
+    """Read the settings of a node; unknown fields are ignored. Raises ``ConfigError``."""
+    source = str(path)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        return msgspec.json.decode(_COMMENT_LINE.sub("", text), type=NodeSettings)
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        reason = str(exc)
+    raise ConfigError(
+        f"the settings are not valid: {reason}",
+        problems=(f"{source}: {reason}",),
+        step="settings.load",
+        peer=source,
+    )
--- a/src/acaciasaddle/ownership/_context.py
+++ b/src/acaciasaddle/ownership/_context.py
@@ -18,8 +18,8 @@
 from acaciasaddle.ownership._members import Members
 from acaciasaddle.ownership._placement import Placement
 from acaciasaddle.peers import PeerHub
-from acaciasaddle.platform import Table
-from acaciasaddle.platform import write_once
+from acaciasaddle.table import Table
+from acaciasaddle.table import write_once
 
 if TYPE_CHECKING:
     from acaciasaddle.config import Rules
--- a/src/acaciasaddle/ownership/_members.py
+++ b/src/acaciasaddle/ownership/_members.py
@@ -13,7 +13,7 @@
 from acaciasaddle.model import HostRow
 from acaciasaddle.model import HostState
 from acaciasaddle.observe import get_logger
-from acaciasaddle.platform import write_once
+from acaciasaddle.table import write_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +21,7 @@
     from acaciasaddle.clock import Clock
     from acaciasaddle.mirror import Mirror
     from acaciasaddle.peers import PeerHub
-    from acaciasaddle.platform import Table
+    from acaciasaddle.table import Table
 
 # Digests go to a few random peers a second, so a live peer may be unheard for some seconds.
 LIVE_AFTER_HEARD_S = 10.0
--- a/src/acaciasaddle/platform/__init__.py
+++ b/src/acaciasaddle/platform/__init__.py
@@ -1,23 +1,22 @@
-"""Client of the platform: transactional table, object store and host list."""
+"""Translation between the product and the users' platform, and nothing else.
+
+The platform's names for headers, calls and fields appear in this package only.
+"""
 
 from __future__ import annotations
 
-from acaciasaddle.platform._api import HostEntry
-from acaciasaddle.platform._api import HostList
-from acaciasaddle.platform._api import ObjectStore
-from acaciasaddle.platform._api import Scan
-from acaciasaddle.platform._api import Table
-from acaciasaddle.platform._http import HttpPlatform
-from acaciasaddle.platform._writes import WriteResult
-from acaciasaddle.platform._writes import write_once
+from acaciasaddle.platform._dialect import PlatformDialect
+from acaciasaddle.platform._orders import PlatformOrders
+from acaciasaddle.platform._store import PlatformConfigurations
+from acaciasaddle.platform._store import PlatformRegistry
+from acaciasaddle.platform._store import PlatformTable
+from acaciasaddle.platform._store import StoreClient
 
 __all__ = [
-    "HostEntry",
-    "HostList",
-    "HttpPlatform",
-    "ObjectStore",
-    "Scan",
-    "Table",
-    "WriteResult",
-    "write_once",
+    "PlatformConfigurations",
+    "PlatformDialect",
+    "PlatformOrders",
+    "PlatformRegistry",
+    "PlatformTable",
+    "StoreClient",
 ]
--- /dev/null
+++ b/src/acaciasaddle/platform/_decode.py
@@ -0,0 +1,170 @@
+"""Decoding of configurations and upstream entries from the platform's JSON."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Literal
+
+import msgspec
+
+from acaciasaddle.errors import ConfigError
+from acaciasaddle.fleet import UpstreamEntry
+from acaciasaddle.fleet import UpstreamLife
+from acaciasaddle.routing import CallerLimits
+from acaciasaddle.routing import Configuration
+from acaciasaddle.routing import Repeat
+from acaciasaddle.routing import Route
+from acaciasaddle.routing import Service
+from acaciasaddle.routing import Target
+
+MAX_PORT = 65_535
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    name: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent", "upload"] = msgspec.field(name="routeType")
+    timeout_s: float = msgspec.field(name="timeoutS")
+    objective_s: float = msgspec.field(name="targetLatencyS")
+    # Counts the upstreams that one request is sent to, not its attempts.
+    max_upstreams: int = msgspec.field(name="maxAttempts")
+    rank: int = msgspec.field(name="priority")
+    service: str | None = None
+    split: list[_Weighted] | None = msgspec.field(name="trafficSplit", default=None)
+
+
+class _VirtualHost(msgspec.Struct):
+    host: str
+    paths: list[_Path]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = msgspec.field(name="healthPath")
+    # A bound for all callers of one upstream together, not for each caller.
+    max_connections: int = msgspec.field(name="maxConnections")
+    keyed: bool = msgspec.field(name="sharded", default=False)
+    warmup_s: float = msgspec.field(name="warmupS", default=0.0)
+
+
+class _Limits(msgspec.Struct):
+    header_bytes: int = msgspec.field(name="maxHeaderBytes")
+    body_bytes: int = msgspec.field(name="maxBodyBytes")
+    header_timeout_s: float = msgspec.field(name="headerTimeoutS")
+    idle_timeout_s: float = msgspec.field(name="idleTimeoutS")
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    hosts: list[_VirtualHost] = msgspec.field(name="virtualHosts")
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int = msgspec.field(name="capacity")
+    state: Literal["ready", "draining"]
+    # Milliseconds since the epoch at the start of the process.
+    born: int
+    sequence: int
+    # Seconds for which the upstream stays slow, counted from its own report.
+    cold_s: float = msgspec.field(name="slowStartS_time", default=0.0)
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_ENTRY = msgspec.json.Decoder(_Entry)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode an operator's configuration. Raises ``ConfigError``."""
+    try:
+        raw = _CONFIGURATION.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise ConfigError(
+            f"the configuration cannot be read: {exc}", step="platform.decode_configuration"
+        ) from exc
+    return Configuration(
+        version=raw.version,
+        routes=tuple(_route(entry.host, path) for entry in raw.hosts for path in entry.paths),
+        services={svc.name: _service(svc) for svc in raw.services},
+        limits=CallerLimits(
+            max_header_bytes=raw.limits.header_bytes,
+            max_body_bytes=raw.limits.body_bytes,
+            header_timeout_s=raw.limits.header_timeout_s,
+            idle_timeout_s=raw.limits.idle_timeout_s,
+        ),
+    )
+
+
+def _route(host: str, path: _Path) -> Route:
+    if path.split:
+        targets = tuple(Target(service=part.service, weight=part.weight) for part in path.split)
+    elif path.service:
+        targets = (Target(service=path.service, weight=1.0),)
+    else:
+        raise ConfigError(
+            f"route {path.name!r} names no service", step="platform.decode_configuration"
+        )
+    return Route(
+        name=path.name,
+        host=host,
+        prefix=path.prefix,
+        repeat=Repeat.IDEMPOTENT if path.kind == "idempotent" else Repeat.ONCE,
+        bulky=path.kind == "upload",
+        targets=targets,
+        timeout_s=path.timeout_s,
+        objective_s=path.objective_s,
+        max_upstreams=max(1, path.max_upstreams),
+        rank=path.rank,
+    )
+
+
+def _service(svc: _Service) -> Service:
+    return Service(
+        name=svc.name,
+        health_path=svc.health_path,
+        max_connections=svc.max_connections,
+        keyed=svc.keyed,
+        warmup_s=svc.warmup_s,
+    )
+
+
+def decode_entry(upstream_id: str, data: bytes) -> UpstreamEntry:
+    """Decode what an upstream registered. Raises ``ConfigError`` if it names none to use."""
+    try:
+        raw = _ENTRY.decode(data)
+        _check_address(raw.address)
+    except (msgspec.DecodeError, ValueError) as exc:
+        raise _bad_entry(upstream_id, str(exc)) from exc
+    if raw.slots < 1 or not raw.service:
+        raise _bad_entry(upstream_id, "no service or no slots")
+    return UpstreamEntry(
+        life=UpstreamLife(upstream_id=upstream_id, started_ms=raw.born),
+        service=raw.service,
+        address=raw.address,
+        data_centre=raw.zone,
+        slots=raw.slots,
+        draining=raw.state == "draining",
+        cold_s=max(0.0, raw.cold_s),
+    )
+
+
+def _check_address(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{address!r} has no valid port")
+
+
+def _bad_entry(upstream_id: str, reason: str) -> ConfigError:
+    return ConfigError(
+        f"entry {upstream_id!r} is not usable: {reason}", step="platform.decode_entry"
+    )
--- /dev/null
+++ b/src/acaciasaddle/platform/_dialect.py
@@ -0,0 +1,57 @@
+"""Headers of the platform's requests and responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from acaciasaddle.forward import Dialect
+from acaciasaddle.forward import RequestTerms
+from acaciasaddle.platform import _wire
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_KEY = 65_535
+MAX_DEADLINE_MS = 3_600_000
+
+
+class PlatformDialect(Dialect):
+    """Reads what a caller asks for, and marks the requests to upstreams."""
+
+    system_headers = frozenset({_wire.DEADLINE_MS, _wire.TARGET_UPSTREAM})
+
+    def read_request(self, fields: Mapping[str, str]) -> RequestTerms:
+        return RequestTerms(
+            request_id=fields.get(_wire.REQUEST_ID, ""),
+            deadline_s=_number(fields.get(_wire.DEADLINE_MS), MAX_DEADLINE_MS, scale=1000.0),
+            key=_key(fields.get(_wire.KEY)),
+        )
+
+    def mark_request(self, *, upstream_id: str, remaining_s: float) -> list[tuple[bytes, bytes]]:
+        remaining_ms = max(1, int(remaining_s * 1000))
+        return [
+            (b"Request-Deadline", str(remaining_ms).encode()),
+            (b"Target-Instance", upstream_id.encode("latin-1")),
+        ]
+
+    def answers(self, fields: Mapping[str, str], terms: RequestTerms) -> bool:
+        return fields.get(_wire.REQUEST_ID, "") == terms.request_id
+
+    def is_not_run(self, status: int, fields: Mapping[str, str]) -> bool:
+        # Only these statuses come with the mark; on another one it contradicts itself.
+        return _wire.NOT_EXECUTED in fields and status in (400, 421, 429, 503)
+
+    def is_signed(self, fields: Mapping[str, str]) -> bool:
+        return bool(fields.get(_wire.SIGNATURE))
+
+
+def _number(text: str | None, most: int, *, scale: float) -> float | None:
+    if text is None or not text.isascii() or not text.isdigit():
+        return None
+    return min(int(text), most) / scale
+
+
+def _key(text: str | None) -> int | None:
+    if text is None or not text.isascii() or not text.isdigit() or int(text) > MAX_KEY:
+        return None
+    return int(text)
--- /dev/null
+++ b/src/acaciasaddle/platform/_orders.py
@@ -0,0 +1,120 @@
+"""Orders to upstreams: which keys they hold, and until when."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import trio
+
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.http1 import ClientConnection
+from acaciasaddle.keyspace import FencedError
+from acaciasaddle.keyspace import KeyOrders
+from acaciasaddle.observe import get_logger
+from acaciasaddle.platform._wire import HANDOVER
+from acaciasaddle.platform._wire import STORE_PREFIX
+
+if TYPE_CHECKING:
+    from acaciasaddle.keyspace import KeyRange
+
+CONNECT_TIMEOUT_S = 0.5
+
+log = get_logger("orders")
+
+
+class PlatformOrders(KeyOrders):
+    """Grants and releases over one connection for each upstream."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, ClientConnection] = {}
+
+    async def grant(
+        self,
+        address: str,
+        keys: KeyRange,
+        *,
+        fence: int,
+        lease_s: float,
+        handover: str,
+        timeout_s: float,
+    ) -> None:
+        body: dict[str, object] = {
+            "from": keys.first,
+            "to": keys.last,
+            "fence": fence,
+            # Counted from the arrival of the order, not from its answer.
+            "holdS": lease_s,
+        }
+        if handover:
+            body["handover"] = handover
+        await self._order("grant", address, body, timeout_s)
+
+    async def release(self, address: str, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
+        body: dict[str, object] = {"from": keys.first, "to": keys.last, "fence": fence}
+        return (await self._order("release", address, body, timeout_s)).get(HANDOVER, "")
+
+    async def reachable(self, address: str, *, timeout_s: float) -> bool:
+        try:
+            conn = await ClientConnection.connect(address=address, timeout_s=timeout_s)
+        except UpstreamError as exc:
+            log.debug("probe failed", address=address, reason=str(exc))
+            return False
+        conn.abort()
+        return True
+
+    def forget(self, address: str) -> None:
+        conn = self._idle.pop(address, None)
+        if conn is not None:
+            conn.abort()
+
+    async def _order(
+        self, name: str, address: str, body: dict[str, object], timeout_s: float
+    ) -> dict[str, str]:
+        data = json.dumps(body).encode()
+        headers = [
+            (b"Host", address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(data)).encode()),
+        ]
+        conn: ClientConnection | None = None
+        step = f"orders.{name}"
+        try:
+            with trio.fail_after(timeout_s):
+                conn = await self._connection(address)
+                resp = await conn.exchange(
+                    method="POST", target=f"{STORE_PREFIX}/{name}", headers=headers, body=data
+                )
+        except trio.TooSlowError as exc:
+            outcome = Outcome.UNKNOWN if conn else Outcome.NOT_RUN
+            raise UpstreamError(
+                "no answer in time", outcome=outcome, step=step, peer=address
+            ) from exc
+        finally:
+            # A reset discards an order that is still on its way.
+            if conn is not None and not conn.reusable:
+                conn.abort()
+        if conn.reusable:
+            previous = self._idle.pop(address, None)
+            if previous is not None:
+                previous.abort()
+            self._idle[address] = conn
+        if resp.status == 409:
+            raise FencedError("a higher fencing token was seen", step=step, peer=address)
+        if resp.status != 200:
+            raise UpstreamError(
+                f"answered with status {resp.status}",
+                outcome=Outcome.NOT_RUN,
+                step=step,
+                peer=address,
+            )
+        return resp.fields
+
+    async def _connection(self, address: str) -> ClientConnection:
+        conn = self._idle.pop(address, None)
+        if conn is not None:
+            if conn.is_quiet():
+                return conn
+            conn.abort()
+        return await ClientConnection.connect(address=address, timeout_s=CONNECT_TIMEOUT_S)
--- /dev/null
+++ b/src/acaciasaddle/platform/_store.py
@@ -0,0 +1,284 @@
+"""Client of the platform's store, and what the product reads and writes there."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+import trio
+
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.errors import ConfigError
+from acaciasaddle.errors import HistoryLostError
+from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import PlatformUnavailableError
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.errors import WriteOutcomeUnknownError
+from acaciasaddle.fleet import ConfigurationChange
+from acaciasaddle.fleet import ConfigurationFeed
+from acaciasaddle.fleet import Registry
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.http1 import ClientConnection
+from acaciasaddle.model import Row
+from acaciasaddle.platform._decode import decode_configuration
+from acaciasaddle.platform._decode import decode_entry
+from acaciasaddle.platform._wire import CONFIGURATION_KEY
+from acaciasaddle.platform._wire import CONFIGURATION_TABLE
+from acaciasaddle.platform._wire import REGISTRY_TABLE
+from acaciasaddle.platform._wire import STORE_PREFIX
+from acaciasaddle.table import Scan
+from acaciasaddle.table import Table
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from acaciasaddle.http1 import Response
+    from acaciasaddle.model._rows import JsonObject
+
+CALL_TIMEOUT_S = 0.9
+"""Time for one call beside its wait. A store that is 90 times slower than usual takes 0.4 s."""
+CONNECT_TIMEOUT_S = 0.6
+IDLE_LIMIT_S = 5.0
+"""Idle connections older than this are not used again, since they may have gone silent."""
+MAX_ROWS = 500
+"""Rows in one answer of the store."""
+
+
+class _StoredRow(msgspec.Struct):
+    key: str
+    ver: int
+    table: str = ""
+    value: str = ""
+    # True for a row that has been removed; the field is not about where the row went.
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct):
+    ver: int
+    rows: list[_StoredRow] = []
+    # True if more rows follow than one answer holds.
+    truncated: bool = False
+
+
+class _Committed(msgspec.Struct):
+    ver: int
+
+
+_ROWS = msgspec.json.Decoder(_Rows)
+_COMMITTED = msgspec.json.Decoder(_Committed)
+
+
+class StoreClient:
+    """Calls of the store. Reads raise ``PlatformUnavailableError`` or ``HistoryLostError``."""
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._idle: list[ClientConnection] = []
+        self.calls = 0
+
+    async def rows(self, table: str) -> _Rows:
+        """Return all rows of a table as of one moment."""
+        rows: list[_StoredRow] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(MAX_ROWS)}
+            if start:
+                query["from"] = start
+            page = await self._get("rows-get", query, wait_s=0.0)
+            rows += page.rows
+            if not page.truncated or not page.rows:
+                return _Rows(ver=page.ver, rows=rows)
+            start = page.rows[-1].key + "\0"
+
+    async def feed(self, table: str, *, after: int, wait_s: float) -> _Rows:
+        """Return the rows changed after a version, waiting for the first one."""
+        query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
+        return await self._get("rows-feed", query, wait_s=wait_s)
+
+    async def transact(self, body: dict[str, Any]) -> int:
+        """Apply a transaction and return its version.
+
+        Raises ``ConditionFailedError``, ``PlatformUnavailableError`` if it surely did not take
+        effect, and ``WriteOutcomeUnknownError``.
+        """
+        step = "store.transact"
+        try:
+            resp = await self._call(
+                "POST", f"{STORE_PREFIX}/rows-tx", json.dumps(body).encode(), wait_s=0.0
+            )
+        except UpstreamError as exc:
+            if exc.outcome is Outcome.NOT_RUN:
+                raise self._unavailable(step, exc.message) from exc
+            raise WriteOutcomeUnknownError(exc.message, step=step, peer=self._address) from exc
+        if resp.status == 412:
+            keys = tuple(row["key"] for row in body["expect"])
+            raise ConditionFailedError(
+                "rows have other versions than expected", keys=keys, step=step, peer=self._address
+            )
+        if resp.status in (429, 503, 403, 400, 413):
+            raise self._unavailable(step, f"refused with status {resp.status}")
+        try:
+            if resp.status == 200:
+                return _COMMITTED.decode(resp.body).ver
+        except msgspec.DecodeError as exc:
+            raise WriteOutcomeUnknownError(str(exc), step=step, peer=self._address) from exc
+        raise WriteOutcomeUnknownError(
+            f"answered with status {resp.status}", step=step, peer=self._address
+        )
+
+    async def _get(self, call: str, query: dict[str, str], *, wait_s: float) -> _Rows:
+        step = f"store.{call}"
+        try:
+            target = f"{STORE_PREFIX}/{call}?{urlencode(query)}"
+            resp = await self._call("GET", target, b"", wait_s=wait_s)
+        except UpstreamError as exc:
+            raise self._unavailable(step, exc.message) from exc
+        if resp.status == 410:
+            raise HistoryLostError(
+                "the store no longer has the changes", step=step, peer=self._address
+            )
+        if resp.status != 200:
+            raise self._unavailable(step, f"answered with status {resp.status}")
+        try:
+            return _ROWS.decode(resp.body)
+        except msgspec.DecodeError as exc:
+            raise self._unavailable(step, f"malformed answer: {exc}") from exc
+
+    async def _call(self, method: str, target: str, body: bytes, *, wait_s: float) -> Response:
+        self.calls += 1
+        conn: ClientConnection | None = None
+        try:
+            with trio.fail_after(CALL_TIMEOUT_S + wait_s):
+                conn = await self._connection()
+                headers = [(b"Host", self._address.encode())]
+                if body:
+                    headers.append((b"Content-Type", b"application/json"))
+                    headers.append((b"Content-Length", str(len(body)).encode()))
+                resp = await conn.exchange(method=method, target=target, headers=headers, body=body)
+        except trio.TooSlowError as exc:
+            self._idle_close()
+            raise UpstreamError(
+                "no answer in time",
+                outcome=Outcome.UNKNOWN if conn else Outcome.NOT_RUN,
+                step="store.call",
+                peer=self._address,
+            ) from exc
+        finally:
+            if conn is not None and not conn.reusable:
+                conn.abort()
+        if conn.reusable:
+            self._idle.append(conn)
+        return resp
+
+    async def _connection(self) -> ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if trio.current_time() - conn.idle_since < IDLE_LIMIT_S and conn.is_quiet():
+                return conn
+            conn.abort()
+        return await ClientConnection.connect(address=self._address, timeout_s=CONNECT_TIMEOUT_S)
+
+    def _idle_close(self) -> None:
+        while self._idle:
+            self._idle.pop().abort()
+
+    def _unavailable(self, step: str, reason: str) -> PlatformUnavailableError:
+        return PlatformUnavailableError(
+            f"the store is not available: {reason}", step=step, peer=self._address
+        )
+
+
+class PlatformTable(Table):
+    """The product's own rows. A key is the name of a table, a slash and the key in that table."""
+
+    def __init__(self, *, store: StoreClient) -> None:
+        self._store = store
+
+    async def read(self, key: str) -> Row | None:
+        table, _, name = key.partition("/")
+        page = await self._store.rows(table)
+        return next((_row(table, row) for row in page.rows if row.key == name), None)
+
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
+        table = prefix.partition("/")[0]
+        if since == 0:
+            page = await self._store.rows(table)
+        else:
+            page = await self._store.feed(table, after=since, wait_s=wait_s)
+        rows = tuple(_row(table, row) for row in page.rows if not row.deleted)
+        return Scan(revision=page.ver, rows=rows)
+
+    async def transact(
+        self, *, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> tuple[Row, ...]:
+        expect = [{**_name(key), "ver": version} for key, version in conditions.items()]
+        put = [
+            {**_name(key), "value": base64.b64encode(json.dumps(value).encode()).decode()}
+            for key, value in puts.items()
+        ]
+        ver = await self._store.transact({"expect": expect, "put": put, "remove": []})
+        return tuple(
+            Row(key=key, version=ver, revision=ver, value=value) for key, value in puts.items()
+        )
+
+
+class PlatformConfigurations(ConfigurationFeed):
+    """The operators' configuration in the store."""
+
+    def __init__(self, *, store: StoreClient) -> None:
+        self._store = store
+
+    async def changes(self, *, since: int, wait_s: float) -> ConfigurationChange:
+        if since == 0:
+            page = await self._store.rows(CONFIGURATION_TABLE)
+        else:
+            page = await self._store.feed(CONFIGURATION_TABLE, after=since, wait_s=wait_s)
+        values = [row.value for row in page.rows if row.key == CONFIGURATION_KEY and row.value]
+        if not values:
+            return ConfigurationChange(revision=page.ver, configuration=None)
+        try:
+            cfg = decode_configuration(base64.b64decode(values[-1], validate=True))
+        except (ConfigError, ValueError) as exc:
+            return ConfigurationChange(revision=page.ver, configuration=None, problem=str(exc))
+        return ConfigurationChange(revision=page.ver, configuration=cfg)
+
+
+class PlatformRegistry(Registry):
+    """The entries that upstreams keep of themselves in the store."""
+
+    def __init__(self, *, store: StoreClient) -> None:
+        self._store = store
+
+    async def changes(self, *, since: int) -> RegistryChange:
+        if since == 0:
+            page = await self._store.rows(REGISTRY_TABLE)
+        else:
+            page = await self._store.feed(REGISTRY_TABLE, after=since, wait_s=0.0)
+        entries: dict[str, Any] = {}
+        problems = []
+        for row in page.rows:
+            entries[row.key] = None
+            if row.deleted:
+                continue
+            try:
+                data = base64.b64decode(row.value, validate=True)
+                entries[row.key] = decode_entry(row.key, data)
+            except (ConfigError, ValueError) as exc:
+                problems.append(str(exc))
+        return RegistryChange(
+            revision=page.ver, complete=since == 0, entries=entries, problems=tuple(problems)
+        )
+
+
+def _name(key: str) -> dict[str, str]:
+    table, _, name = key.partition("/")
+    return {"table": table, "part": "", "key": name}
+
+
+def _row(table: str, row: _StoredRow) -> Row:
+    value = json.loads(base64.b64decode(row.value))
+    return Row(key=f"{table}/{row.key}", version=row.ver, revision=row.ver, value=value)
--- /dev/null
+++ b/src/acaciasaddle/platform/_wire.py
@@ -0,0 +1,19 @@
+"""Names on the platform's wire that more than one module of this folder uses."""
+
+from __future__ import annotations
+
+STORE_PREFIX = "/acaciasaddle"
+"""Path prefix of the store's calls and of the orders to upstreams."""
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+REGISTRY_TABLE = "servers"
+
+REQUEST_ID = "request-id"
+DEADLINE_MS = "request-deadline"
+"""Milliseconds that the sender is still willing to wait, not a point in time."""
+TARGET_UPSTREAM = "target-instance"
+NOT_EXECUTED = "not-executed"
+SIGNATURE = "response-signature"
+KEY = "shard-key"
+HANDOVER = "handover"
+UPSTREAM_ID = "instance-id"
--- /dev/null
+++ b/src/acaciasaddle/routing/_match.py
@@ -0,0 +1,62 @@
+"""Selection of the route and the service of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from acaciasaddle.routing._types import Configuration
+    from acaciasaddle.routing._types import Route
+
+
+class RouteTable:
+    """Routes by host, the longest prefix first."""
+
+    def __init__(self, *, cfg: Configuration) -> None:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in cfg.routes:
+            by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._by_host = by_host
+
+    def match(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or ``None``.
+
+        ``host`` may carry a port, ``target`` a query.
+        """
+        routes = self._by_host.get(host.partition(":")[0].lower())
+        if routes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class TrafficSplitter:
+    """Distributes the requests of each route among its targets in proportion to their weights.
+
+    Every target earns its weight with each request, and the one with the highest credit is
+    chosen, so that the shares hold over short spans as well.
+    """
+
+    def __init__(self) -> None:
+        self._credit: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: Route) -> str:
+        """Return the service of the next request of a route."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        credit = self._credit.get(route.name, {})
+        total = sum(target.weight for target in route.targets)
+        credit = {
+            target.service: credit.get(target.service, 0.0) + target.weight / total
+            for target in route.targets
+        }
+        chosen = max(credit, key=lambda service: credit[service])
+        credit[chosen] -= 1.0
+        self._credit[route.name] = credit
+        return chosen
--- /dev/null
+++ b/src/acaciasaddle/routing/_types.py
@@ -0,0 +1,78 @@
+"""Configuration of the routes, as frozen data classes."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Repeat(StrEnum):
+    """What may be repeated without the caller's consent."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """A service that serves a part of a route's requests, in proportion to ``weight``."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Requests of one host below a path prefix. Times are in seconds.
+
+    ``timeout_s`` is the longest time that a request is kept waiting, ``objective_s`` the latency
+    objective, ``max_upstreams`` the number of upstreams that one request may be sent to. Rank 0
+    is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    bulky: bool
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float
+    max_upstreams: int
+    rank: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A set of upstreams. ``keyed`` services have exactly one owner for each key.
+
+    ``max_connections`` bounds the connections of all callers to one upstream. Keys that arrive
+    without a handover are slow for ``warmup_s`` seconds.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    keyed: bool
+    warmup_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimits:
+    """What a caller may send, in bytes, and how long it may take or stay idle, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One accepted configuration. A higher ``version`` replaces a lower one."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    limits: CallerLimits
--- a/src/acaciasaddle/platform/_api.py
+++ b/src/acaciasaddle/table/_api.py
@@ -36,8 +36,12 @@
         """Return a row, or ``None`` if it does not exist."""
 
     @abstractmethod
-    async def scan(self, prefix: str, *, since: int) -> Scan:
-        """Return the rows below a key prefix whose revision is greater than ``since``."""
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
+        """Return the rows below a key prefix whose revision is greater than ``since``.
+
+        A table that can wait does so for the first change, for at most ``wait_s`` seconds. Raises
+        ``HistoryLostError`` if changes since that revision are no longer kept; 0 is always kept.
+        """
 
     @abstractmethod
     async def transact(
--- a/src/acaciasaddle/platform/_writes.py
+++ b/src/acaciasaddle/table/_writes.py
@@ -15,7 +15,7 @@
 from acaciasaddle.model import Row
 
 if TYPE_CHECKING:
-    from acaciasaddle.platform._api import Table
+    from acaciasaddle.table._api import Table
 
 Puts = Mapping[str, Callable[[str], dict[str, Any]]]
 
