Link hosts to the coordinator, which balances by reported load

Hosts now report samples over one connection, and the coordinator passes on what it reads; a host whose link is silent for 0.9 s reads for itself. Ruled out: reports through rows of the store (priced calls, 2 s of delay).

--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -58,12 +58,13 @@
     async def run(self) -> None:
         """Serve the connection until either side ends it."""
         try:
-            async with trio.open_nursery(strict_exception_groups=False) as nursery:
+            async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
-                await self._serve()
+                try:
+                    await self._serve()
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    log.debug("connection broken")
                 nursery.cancel_scope.cancel()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            log.debug("connection broken")
         finally:
             with trio.move_on_after(LINGER_S, shield=True):
                 await self._close()
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -35,6 +35,8 @@
         self.owners: dict[str, KeyMap] = {}
         self.changed = trio.Event()
         self.registry_read_at: float | None = None
+        self.configuration_read_at: float | None = None
+        self.registry_serial = 0
         self._missing: dict[str, float] = {}
 
     @property
@@ -64,6 +66,10 @@
         self.routes = RouteTable(cfg=cfg)
         self._notify()
 
+    def note_configuration_read(self, *, age_s: float = 0.0) -> None:
+        """Note that the configuration was read ``age_s`` seconds ago, changed or not."""
+        self.configuration_read_at = self._clock.now() - age_s
+
     def apply_owners(self, service: str, owners: KeyMap) -> None:
         """Take the owners of a service's keys if they are newer than the known ones."""
         current = self.owners.get(service)
@@ -72,11 +78,11 @@
         self.owners[service] = owners
         self._notify()
 
-    def apply_registry(self, change: RegistryChange) -> None:
-        """Take changes of the registry, which has just been read."""
+    def apply_registry(self, change: RegistryChange, *, age_s: float = 0.0) -> None:
+        """Take changes of the registry that were read ``age_s`` seconds ago."""
         now = self._clock.now()
         away = self.registry_read_at is not None and now - self.registry_read_at > OUTAGE_S
-        self.registry_read_at = now
+        self.registry_read_at = now - age_s
         removed = {name for name, entry in change.entries.items() if entry is None}
         if change.complete:
             removed |= self.upstreams.keys() - change.entries.keys()
@@ -97,8 +103,13 @@
                 del self._missing[name]
                 changed |= self._remove(name, "did not come back after the outage")
         if changed:
+            self.registry_serial += 1
             self._notify()
 
+    def note_registry_read(self, *, age_s: float) -> None:
+        """Note that the registry was read ``age_s`` seconds ago without changes."""
+        self.registry_read_at = self._clock.now() - age_s
+
     def _put(self, entry: UpstreamEntry) -> bool:
         known = self.upstreams.get(entry.upstream_id)
         if known is not None and entry.life.started_ms < known.life.started_ms:
--- a/src/acaciasaddle/forward/_budget.py
+++ b/src/acaciasaddle/forward/_budget.py
@@ -33,9 +33,9 @@
     """This host's part of the budget, for each service."""
 
     def __init__(self, *, terms: BudgetTerms, hosts: int) -> None:
-        """``hosts`` is the number of hosts that share the slack."""
+        """``hosts`` is the number of hosts that share the slack; it may be changed."""
         self._terms = terms
-        self._slack = terms.slack / max(1, hosts)
+        self.hosts = hosts
         self._windows: dict[str, _Window] = {}
 
     def note_request(self, service: str, *, now: float) -> None:
@@ -45,7 +45,8 @@
     def left(self, service: str, *, now: float) -> float:
         """Return how many more repeats may be sent now."""
         window = self._window(service, now)
-        allowed = SAFETY * (self._terms.ratio * len(window.requests) + self._slack)
+        slack = self._terms.slack / max(1, self.hosts)
+        allowed = SAFETY * (self._terms.ratio * len(window.requests) + slack)
         return allowed - len(window.repeats)
 
     def take(self, service: str, *, now: float) -> bool:
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -91,7 +91,16 @@
         self._splitter = TrafficSplitter()
         self._pool = ConnectionPool()
         self._random = random.Random()
-        self.samples: list[LoadSample] = []
+        self._samples: list[LoadSample] = []
+
+    def take_samples(self) -> list[LoadSample]:
+        """Return the samples taken since the last call."""
+        samples, self._samples = self._samples, []
+        return samples
+
+    def busy(self) -> dict[str, int]:
+        """Return the number of requests in progress at each upstream that has any."""
+        return self._states.busy()
 
     async def handle(self, req: CallerRequest) -> Reply:
         """Return the reply to a request; never raises but for cancellation."""
@@ -246,7 +255,7 @@
 
     def _sample(self, work: _Work, upstream: UpstreamEntry, seconds: float) -> None:
         key = work.terms.key if work.service.keyed and work.terms.key is not None else -1
-        self.samples.append(
+        self._samples.append(
             LoadSample(
                 service=work.service.name,
                 key=key,
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -60,6 +60,10 @@
         """Return the state of an upstream."""
         return self._states.setdefault(upstream_id, UpstreamState())
 
+    def busy(self) -> dict[str, int]:
+        """Return the requests in progress at each upstream that has any."""
+        return {name: state.in_flight for name, state in self._states.items() if state.in_flight}
+
     def choose(
         self, upstreams: Sequence[UpstreamEntry], *, tried: Collection[str], now: float
     ) -> UpstreamEntry | None:
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -145,10 +145,17 @@
                 # The upstream stopped reading; its response, if there is one, is still received.
                 return
 
-        async with trio.open_nursery(strict_exception_groups=False) as nursery:
+        response: Response | None = None
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
-            response = await self._receive(request, matches)
+            try:
+                response = await self._receive(request, matches)
+            except (UpstreamError, h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
+                failure = exc
             nursery.cancel_scope.cancel()
+        if failure is not None or response is None:
+            raise failure or self._unknown("no response")
         if not sent:
             # The rest of the body is still due on this connection.
             self.reusable = False
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -34,6 +34,8 @@
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.keyspace._balance import Move
@@ -95,7 +97,7 @@
     ) -> None:
         """``member`` is ``<host id>@<incarnation>``; ``max_lease_s`` bounds a lease of keys."""
         self._member = member
-        self._address = address
+        self.address = address
         self._view = view
         self._table = table
         self._orders = orders
@@ -113,12 +115,29 @@
         self._writing = trio.Lock()
         self._stopping = False
         self.leading = False
+        self.linked: Callable[[], bool] = lambda: False
 
     @property
     def coordinator_address(self) -> str:
         """Address of the host that has the role, as far as known."""
         return str(self._role_value.get("address", ""))
 
+    @property
+    def role_version(self) -> int:
+        """Version of the role's row as last seen."""
+        return self._role_version
+
+    @property
+    def role_age_s(self) -> float:
+        """Seconds since the role's row was last seen to change."""
+        return self._clock.now() - self._seen_at
+
+    def note_role(self, *, version: int, age_s: float) -> None:
+        """Take note of a version of the role's row that the coordinator passes on."""
+        if not self.leading and version > self._role_version:
+            self._role_version = version
+            self._seen_at = self._clock.now() - age_s
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         task_status.started()
         while True:
@@ -148,6 +167,9 @@
 
     async def _compete(self) -> None:
         """Follow the role's row until this host may take it, then try once."""
+        if self._seen_at and self.linked():
+            await trio.sleep(TICK_S)
+            return
         row = await self._table.read(COORDINATOR_KEY)
         now = self._clock.now()
         version = row.version if row is not None else 0
@@ -201,7 +223,7 @@
         async with self._writing:
             started = self._clock.now()
             member = "" if released else self._member
-            value = {"member": member, "address": self._address, "at": started}
+            value = {"member": member, "address": self.address, "at": started}
             rows = await self._table.transact(
                 conditions={COORDINATOR_KEY: self._role_version, **conditions},
                 puts={COORDINATOR_KEY: value, **puts},
--- /dev/null
+++ b/src/acaciasaddle/links/_links.py
@@ -0,0 +1,254 @@
+"""Connections from every host to the coordinator.
+
+Hosts report their load; the coordinator passes on what it reads from the platform, so that the
+others need not read it as well. A host whose link is silent reads for itself again.
+"""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+import trio
+
+from acaciasaddle.errors import PeerError
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.kernel import Service
+from acaciasaddle.keyspace import KeyMap
+from acaciasaddle.keyspace import LoadSample
+from acaciasaddle.links._messages import REPORTS
+from acaciasaddle.links._messages import STATES
+from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import Report
+from acaciasaddle.links._messages import State
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.fleet import FleetView
+    from acaciasaddle.keyspace import Coordinator
+    from acaciasaddle.keyspace import LoadBook
+
+INTERVAL_S = 0.4
+"""Between two reports, and between two states if nothing changes."""
+SILENCE_S = 0.9
+"""A link without a state for this long is given up; two states may be late."""
+CONNECT_TIMEOUT_S = 0.5
+RECONNECT_S = 0.2
+MAX_AGE_S = 1.6
+"""Beliefs that the coordinator read longer ago than this do not spare a host its own reading."""
+
+log = get_logger("links")
+
+
+class Links(Service):
+    """Listens for other hosts, and keeps a link to the coordinator while that is another host."""
+
+    name: ClassVar[str] = "links"
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        address: str,
+        view: FleetView,
+        coordinator: Coordinator,
+        load: LoadBook,
+        clock: Clock,
+        take_samples: Callable[[], list[LoadSample]],
+        busy: Callable[[], dict[str, int]],
+    ) -> None:
+        """``take_samples`` returns the samples taken since it was last called."""
+        self._host_id = host_id
+        self._address = address
+        self._view = view
+        self._coordinator = coordinator
+        self._load = load
+        self._clock = clock
+        self._take_samples = take_samples
+        self._busy = busy
+        self._busy_of: dict[str, dict[str, int]] = {}
+        self._state_at: float | None = None
+        self._ages_fit = False
+        self.hosts = 0
+        self.total_busy: dict[str, int] = {}
+
+    def covers(self) -> bool:
+        """Whether the coordinator keeps this host informed."""
+        return self.linked() and self._ages_fit
+
+    def linked(self) -> bool:
+        """Whether the coordinator has been heard of lately."""
+        now = self._clock.now()
+        return (
+            not self._coordinator.leading
+            and self._state_at is not None
+            and now - self._state_at < SILENCE_S
+        )
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        host, _, port = self._address.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            task_status.started()
+            while True:
+                if self._coordinator.leading:
+                    self._lead()
+                    await trio.sleep(INTERVAL_S)
+                elif self._coordinator.coordinator_address in ("", self._address):
+                    await trio.sleep(RECONNECT_S)
+                else:
+                    await self._follow(self._coordinator.coordinator_address)
+                    await trio.sleep(RECONNECT_S)
+
+    # The coordinator's side.
+
+    def _lead(self) -> None:
+        """Add this host's own report."""
+        self._load.add(self._take_samples(), now=self._clock.now())
+        self._busy_of[self._host_id] = self._busy()
+        self.hosts = len(self._busy_of)
+        total: dict[str, int] = {}
+        for busy in self._busy_of.values():
+            for name, count in busy.items():
+                total[name] = total.get(name, 0) + count
+        self.total_busy = total
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        """Serve another host for as long as this one is the coordinator."""
+        if not self._coordinator.leading:
+            await stream.aclose()
+            return
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        frames = FrameStream(stream=stream, peer="host")
+        host_id = ""
+        try:
+            async with stream, trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_states, frames, nursery.cancel_scope)
+                try:
+                    while self._coordinator.leading:
+                        with trio.fail_after(SILENCE_S * 2):
+                            report: Report = await frames.receive(REPORTS)
+                        host_id = report.host_id
+                        self._take_report(report)
+                except (PeerError, trio.TooSlowError) as exc:
+                    log.info("link to host ended", host_id=host_id, reason=str(exc))
+                nursery.cancel_scope.cancel()
+        finally:
+            self._busy_of.pop(host_id, None)
+
+    def _take_report(self, report: Report) -> None:
+        self._busy_of[report.host_id] = report.busy
+        samples = [
+            LoadSample(service=service, key=key, upstream_id=upstream, seconds=seconds)
+            for service, key, upstream, seconds in report.samples
+        ]
+        self._load.add(samples, now=self._clock.now())
+
+    async def _send_states(self, frames: FrameStream, scope: trio.CancelScope) -> None:
+        version, serial = 0, -1
+        revisions: dict[str, int] = {}
+        try:
+            while self._coordinator.leading:
+                changed = self._view.changed
+                cfg, owners = self._view.configuration, dict(self._view.owners)
+                state = State(
+                    role_version=self._coordinator.role_version,
+                    role_age_s=self._coordinator.role_age_s,
+                    hosts=self.hosts,
+                    configuration_age_s=self._age(self._view.configuration_read_at),
+                    registry_age_s=self._age(self._view.registry_read_at),
+                    configuration=cfg if cfg is not None and cfg.version > version else None,
+                    registry=(
+                        list(self._view.upstreams.values())
+                        if self._view.registry_serial != serial
+                        else None
+                    ),
+                    owners={
+                        name: (value.revision, value.to_json())
+                        for name, value in owners.items()
+                        if revisions.get(name) != value.revision
+                    },
+                    busy=self.total_busy,
+                )
+                version = cfg.version if cfg is not None else 0
+                serial = self._view.registry_serial
+                revisions = {name: value.revision for name, value in owners.items()}
+                with trio.fail_after(SILENCE_S):
+                    await frames.send(state)
+                with trio.move_on_after(INTERVAL_S):
+                    await changed.wait()
+        except (PeerError, trio.TooSlowError) as exc:
+            log.info("host does not take states", reason=str(exc))
+        scope.cancel()
+
+    def _age(self, at: float | None) -> float:
+        return self._clock.now() - at if at is not None else MAX_AGE_S
+
+    # The other hosts' side.
+
+    async def _follow(self, address: str) -> None:
+        """Keep a link to the coordinator until it fails or the role moves."""
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                host, _, port = address.rpartition(":")
+                stream = await trio.open_tcp_stream(host, int(port))
+        except (OSError, trio.TooSlowError) as exc:
+            log.info("no link to the coordinator", address=address, reason=str(exc))
+            return
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        frames = FrameStream(stream=stream, peer=address)
+        async with stream, trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_reports, frames, nursery.cancel_scope)
+            try:
+                while not self._coordinator.leading:
+                    with trio.fail_after(SILENCE_S):
+                        self._take_state(await frames.receive(STATES))
+            except (PeerError, trio.TooSlowError) as exc:
+                log.info("link to the coordinator ended", address=address, reason=str(exc))
+            nursery.cancel_scope.cancel()
+        self._state_at = None
+
+    async def _send_reports(self, frames: FrameStream, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                samples = [
+                    (sample.service, sample.key, sample.upstream_id, round(sample.seconds, 3))
+                    for sample in self._take_samples()
+                ]
+                report = Report(host_id=self._host_id, samples=samples, busy=self._busy())
+                with trio.fail_after(SILENCE_S):
+                    await frames.send(report)
+                await trio.sleep(INTERVAL_S)
+        except (PeerError, trio.TooSlowError) as exc:
+            log.info("coordinator does not take reports", reason=str(exc))
+        scope.cancel()
+
+    def _take_state(self, state: State) -> None:
+        if self._state_at is None:
+            log.info("link to the coordinator", hosts=state.hosts)
+        self._state_at = self._clock.now()
+        self._ages_fit = max(state.configuration_age_s, state.registry_age_s) < MAX_AGE_S
+        self.hosts = state.hosts
+        self.total_busy = state.busy
+        self._coordinator.note_role(version=state.role_version, age_s=state.role_age_s)
+        if state.configuration is not None:
+            self._view.apply_configuration(state.configuration)
+        if self._ages_fit:
+            self._view.note_configuration_read(age_s=state.configuration_age_s)
+            entries = state.registry
+            if entries is None:
+                self._view.note_registry_read(age_s=state.registry_age_s)
+            else:
+                change = RegistryChange(
+                    revision=0,
+                    complete=True,
+                    entries={entry.upstream_id: entry for entry in entries},
+                )
+                self._view.apply_registry(change, age_s=state.registry_age_s)
+        for service, (revision, value) in state.owners.items():
+            self._view.apply_owners(service, KeyMap.from_json(value, revision=revision))
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -20,6 +20,7 @@
 from acaciasaddle.kernel import Kernel
 from acaciasaddle.keyspace import Coordinator
 from acaciasaddle.keyspace import LoadBook
+from acaciasaddle.links import Links
 from acaciasaddle.node._settings import load_node_settings
 from acaciasaddle.node._watch import Watcher
 from acaciasaddle.observe import configure_logs
@@ -54,17 +55,18 @@
         table = PlatformTable(store=store)
         self.view = FleetView(clock=clock)
         bounds = settings.bounds
+        self.budget = RepeatBudget(
+            terms=BudgetTerms(
+                ratio=bounds.repeat_ratio,
+                window_s=bounds.repeat_window_s,
+                slack=bounds.repeat_slack,
+            ),
+            hosts=ASSUMED_HOSTS,
+        )
         self.forwarder = Forwarder(
             view=self.view,
             dialect=PlatformDialect(),
-            budget=RepeatBudget(
-                terms=BudgetTerms(
-                    ratio=bounds.repeat_ratio,
-                    window_s=bounds.repeat_window_s,
-                    slack=bounds.repeat_slack,
-                ),
-                hosts=ASSUMED_HOSTS,
-            ),
+            budget=self.budget,
             data_centre=settings.data_centre,
         )
         self.load = LoadBook()
@@ -78,6 +80,17 @@
             load=self.load,
             max_lease_s=bounds.max_lease_s,
         )
+        self.links = Links(
+            host_id=settings.host_id,
+            address=self.coordinator.address,
+            view=self.view,
+            coordinator=self.coordinator,
+            load=self.load,
+            clock=clock,
+            take_samples=self.forwarder.take_samples,
+            busy=self.forwarder.busy,
+        )
+        self.coordinator.linked = self.links.linked
         callers = HttpServer(
             address=settings.caller_address, limits=self._limits, handle=self.forwarder.handle
         )
@@ -94,8 +107,11 @@
                 configurations=PlatformConfigurations(store=store),
                 registry=PlatformRegistry(store=store),
                 table=table,
+                covered=self.links.covers,
+                leading=lambda: self.coordinator.leading,
             )
         )
+        self.kernel.add(self.links)
         self.kernel.add(self.listener)
         self.kernel.add(self.coordinator)
 
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -25,8 +25,9 @@
 
 FEED_WAIT_S = 1.0
 """A feed that went silent is noticed within this and one call, inside the 2 s for a change."""
-REGISTRY_INTERVAL_S = 0.8
-"""Upstreams may be used for 2 s after they began to drain; two reads fit."""
+REGISTRY_INTERVAL_S = 0.6
+"""Upstreams may be used for 2 s after they began to drain; three reads fit."""
+COVERED_POLL_S = 0.1
 RETRY_S = 0.25
 
 log = get_logger("watch")
@@ -35,14 +36,26 @@
 class _Step:
     """Reads one kind of change over and over; logs when its source is lost and regained."""
 
-    def __init__(self, *, name: str, read: Callable[[int], Awaitable[int]]) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        read: Callable[[int], Awaitable[int]],
+        covered: Callable[[], bool],
+    ) -> None:
+        """``covered`` tells whether another host passes on the same changes."""
         self._name = name
         self._read = read
+        self._covered = covered
         self._lost = False
 
     async def run(self, interval_s: float) -> None:
         since = 0
         while True:
+            if self._covered():
+                since = 0
+                await trio.sleep(COVERED_POLL_S)
+                continue
             try:
                 since = await self._read(since)
             except HistoryLostError:
@@ -75,7 +88,12 @@
         configurations: ConfigurationFeed,
         registry: Registry,
         table: Table,
+        covered: Callable[[], bool],
+        leading: Callable[[], bool],
     ) -> None:
+        """``covered``: the coordinator passes on what it reads; ``leading``: this host is it."""
+        self._covered = covered
+        self._leading = leading
         self._view = view
         self._configurations = configurations
         self._registry = registry
@@ -84,15 +102,21 @@
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         task_status.started()
         async with trio.open_nursery() as nursery:
-            for name, read, interval_s in (
-                ("configuration", self._read_configuration, 0.0),
-                ("owners", self._read_owners, 0.0),
-                ("registry", self._read_registry, REGISTRY_INTERVAL_S),
+            for name, read, interval_s, covered in (
+                ("configuration", self._read_configuration, 0.0, self._covered),
+                ("owners", self._read_owners, 0.0, self._owners_covered),
+                ("registry", self._read_registry, REGISTRY_INTERVAL_S, self._covered),
             ):
-                nursery.start_soon(_Step(name=name, read=read).run, interval_s)
+                step = _Step(name=name, read=read, covered=covered)
+                nursery.start_soon(step.run, interval_s)
+
+    def _owners_covered(self) -> bool:
+        # The coordinator itself is the only writer of owners.
+        return self._leading() or self._covered()
 
     async def _read_configuration(self, since: int) -> int:
         change = await self._configurations.changes(since=since, wait_s=FEED_WAIT_S)
+        self._view.note_configuration_read()
         if change.problem:
             log.warning("configuration rejected", reason=change.problem)
         if change.configuration is not None:
