--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a caller: requests are answered in their order, one at a time.
+"""One connection of a caller: requests are answered in their order.
 
 hypercorn hands over a request before it is complete and does not tell when a caller leaves while
 requests are waiting behind the current one; so h11, its parser, is used directly.
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 import h11
@@ -22,8 +25,10 @@
     from acaciasaddle.routing import CallerLimits
 
 RECEIVE_BYTES = 65_536
+MAX_PIPELINED = 16
+"""Requests of one connection that are in progress at the same time."""
 READ_AHEAD_BYTES = 262_144
-"""Bytes of later requests that are kept while one is served."""
+"""Bytes of further requests that are kept while that many are in progress."""
 LINGER_S = 1.0
 """Time for a caller to read the last response before unread bytes reset the connection."""
 BODY_TIMEOUT_S = 30.0
@@ -32,8 +37,21 @@
 log = get_logger("caller")
 
 
+@dataclass(slots=True, eq=False)
+class _Exchange:
+    """One request and the parser that read it, which also frames the response."""
+
+    parser: h11.Connection
+    done: trio.Event = field(default_factory=trio.Event)
+    reply: Reply | None = None
+
+
 class CallerConnection:
-    """Reads requests from a stream and writes their replies."""
+    """Reads requests from a stream and writes their replies in the same order.
+
+    Requests that a caller sends before the earlier ones are answered are served side by side.
+    h11 reads no request while one is open, so each request has a parser of its own.
+    """
 
     def __init__(
         self,
@@ -45,32 +63,35 @@
         self._stream = stream
         self._limits = limits
         self._handle = handle
-        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
+        self._parser = self._new_parser()
         self._received = trio.Event()
-        self._room = trio.Event()
-        self._buffered = 0
+        self._progress = trio.Event()
+        self._unread = 0
         self._ended = False
-        self._work = trio.CancelScope()
+        self._last_read = False
+        self._pending: deque[_Exchange] = deque()
         self._idle_scope = trio.CancelScope()
         self.closing = False
-        self.busy = False
+        self.one_request = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether requests are in progress."""
+        return bool(self._pending)
 
     async def run(self) -> None:
         """Serve the connection until either side ends it."""
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._receive)
-                try:
-                    await self._serve()
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    log.debug("connection broken")
-                nursery.cancel_scope.cancel()
+                nursery.start_soon(self._receive, nursery.cancel_scope)
+                nursery.start_soon(self._write_replies, nursery.cancel_scope)
+                await self._read_requests(nursery)
         finally:
             with trio.move_on_after(LINGER_S, shield=True):
                 await self._close()
 
     def close_soon(self) -> None:
-        """Close the connection after the request in progress, or at once if there is none."""
+        """Close the connection after the requests in progress, or at once if there are none."""
         self.closing = True
         self._idle_scope.cancel()
 
@@ -84,82 +105,111 @@
         finally:
             await trio.aclose_forcefully(self._stream)
 
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+
     # Receiving.
 
-    async def _receive(self) -> None:
+    async def _receive(self, scope: trio.CancelScope) -> None:
         """Pass bytes to the parser, and end the work in progress when the caller leaves."""
         while True:
             try:
                 data = await self._stream.receive_some(RECEIVE_BYTES)
-            except trio.BrokenResourceError:
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
                 break
-            try:
+            if not self._last_read:
                 self._parser.receive_data(data)
-            except h11.RemoteProtocolError:
-                break
-            self._buffered += len(data)
+            self._unread += len(data)
             self._signal()
-            while self.busy and self._buffered > READ_AHEAD_BYTES:
-                self._room = trio.Event()
-                await self._room.wait()
+            while len(self._pending) >= MAX_PIPELINED and self._unread > READ_AHEAD_BYTES:
+                await self._progress.wait()
         self._ended = True
-        self._signal()
-        self._work.cancel()
+        if self._pending:
+            log.info("caller left", pending=len(self._pending))
+        scope.cancel()
 
     def _signal(self) -> None:
         self._received.set()
         self._received = trio.Event()
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED] | None:
-        """Return the next event, or ``None`` once the caller has ended the connection."""
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             received = self._received
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
-            if self._ended:
-                return None
             await received.wait()
 
     # Serving.
 
-    async def _serve(self) -> None:
+    async def _read_requests(self, nursery: trio.Nursery) -> None:
+        """Read requests and serve each in a task, until the connection closes."""
         while not self.closing:
             try:
                 req = await self._read_request()
             except h11.RemoteProtocolError as exc:
                 log.info("bad request", reason=str(exc), status=exc.error_status_hint)
-                await self._send(Reply(status=exc.error_status_hint, headers=[]), close=True)
+                self.closing = self._last_read = True
+                exchange = _Exchange(self._parser)
+                exchange.reply = Reply(status=exc.error_status_hint, headers=[])
+                exchange.done.set()
+                self._add(exchange)
                 return
             if req is None:
-                return
-            self.busy = True
-            reply = await self._reply_to(req)
-            if reply is None:
-                return
-            await self._send(reply, close=self.closing)
-            self.busy = False
-            if self._parser.our_state is not h11.DONE:
-                return
-            self._parser.start_next_cycle()
-            self._buffered = len(self._parser.trailing_data[0])
-            self._room.set()
-
-    async def _reply_to(self, req: CallerRequest) -> Reply | None:
-        """Return the reply, or ``None`` if the caller left before."""
-        if len(req.body) > self._limits.max_body_bytes:
-            return Reply(status=413, headers=[])
-        if self._ended:
-            return None
-        reply: Reply | None = None
-        self._work = trio.CancelScope()
-        with self._work:
-            reply = await self._handle(req)
-        if reply is None:
-            log.info("caller left", target=req.target)
-        return reply
+                break
+            exchange = _Exchange(self._parser)
+            rest, _ = self._parser.trailing_data
+            self._unread = len(rest)
+            if self.one_request or self._parser.their_state is not h11.DONE:
+                # The host is stopping, or the caller said that this is its last request.
+                self.closing = True
+            self._parser = self._new_parser()
+            if rest:
+                self._parser.receive_data(rest)
+            self._add(exchange)
+            nursery.start_soon(self._serve, exchange, req)
+            while len(self._pending) >= MAX_PIPELINED:
+                await self._progress.wait()
+        self.closing = self._last_read = True
+        self._step()
+
+    def _add(self, exchange: _Exchange) -> None:
+        self._pending.append(exchange)
+        self._step()
+
+    def _step(self) -> None:
+        self._progress.set()
+        self._progress = trio.Event()
+
+    async def _serve(self, exchange: _Exchange, req: CallerRequest) -> None:
+        exchange.reply = await self._handle(req)
+        exchange.done.set()
+
+    async def _write_replies(self, scope: trio.CancelScope) -> None:
+        """Write the replies in the order of the requests; end the connection after the last."""
+        try:
+            while True:
+                while not self._pending:
+                    if self._last_read:
+                        scope.cancel()
+                    await self._progress.wait()
+                exchange = self._pending[0]
+                await exchange.done.wait()
+                if exchange.reply is not None:
+                    # Requests that were read behind this one are still answered.
+                    last = self.closing and len(self._pending) == 1
+                    self._last_read = self._last_read or last
+                    await self._send(exchange.parser, exchange.reply, close=last)
+                self._pending.popleft()
+                self._idle_scope.deadline = trio.current_time() + self._limits.idle_timeout_s
+                self._step()
+                if self._last_read and not self._pending:
+                    scope.cancel()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            log.debug("connection broken")
+            scope.cancel()
 
     async def _read_request(self) -> CallerRequest | None:
         """Return the next request, or ``None`` if the connection ends or stays idle."""
@@ -171,10 +221,9 @@
         if "content-length" in fields and "transfer-encoding" in fields:
             raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
         if fields.get("expect", "").lower() == "100-continue":
-            await self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
+            data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+            await self._stream.send_all(data or b"")
         body = await self._read_body()
-        if body is None:
-            return None
         return CallerRequest(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
@@ -191,7 +240,7 @@
         if self.closing:
             self._idle_scope.cancel()
         with self._idle_scope:
-            while not self._parser.trailing_data[0] and not self._ended:
+            while not self._parser.trailing_data[0]:
                 await self._received.wait()
         if not self._parser.trailing_data[0]:
             return None
@@ -200,7 +249,7 @@
             return event if isinstance(event, h11.Request) else None
         raise h11.RemoteProtocolError("the head took too long", error_status_hint=408)
 
-    async def _read_body(self) -> bytes | None:
+    async def _read_body(self) -> bytes:
         body = bytearray()
         with trio.move_on_after(BODY_TIMEOUT_S):
             while True:
@@ -209,32 +258,26 @@
                     body += event.data
                     if len(body) > self._limits.max_body_bytes:
                         raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-                elif isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
                 else:
-                    return None
+                    return bytes(body)
         raise h11.RemoteProtocolError("the body took too long", error_status_hint=408)
 
-    async def _send(self, reply: Reply, *, close: bool) -> None:
+    async def _send(self, parser: h11.Connection, reply: Reply, *, close: bool) -> None:
         headers = list(reply.headers)
         if reply.status not in (204, 304):
             headers.append((b"Content-Length", str(len(reply.body)).encode()))
         if close:
             headers.append((b"Connection", b"close"))
         try:
-            head = self._parser.send(
+            head = parser.send(
                 h11.Response(status_code=reply.status, headers=headers, reason=reply.reason)
             )
-            body = self._parser.send(h11.Data(data=reply.body)) if reply.body else b""
-            end = self._parser.send(h11.EndOfMessage())
+            body = parser.send(h11.Data(data=reply.body)) if reply.body else b""
+            end = parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             log.warning("reply cannot be sent", reason=str(exc), status=reply.status)
-            self.closing = True
-            return
+            raise trio.BrokenResourceError("reply cannot be sent") from exc
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
             await self._stream.send_all((head or b"") + (body or b"") + (end or b""))
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the caller does not read")
-
-    async def _send_event(self, event: h11.Event) -> None:
-        await self._stream.send_all(self._parser.send(event) or b"")
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -41,6 +41,7 @@
         self._handle = handle
         self._connections: set[CallerConnection] = set()
         self._closing = False
+        self._accepting = trio.CancelScope()
 
     @property
     def open_connections(self) -> int:
@@ -52,18 +53,19 @@
         """Number of connections with a request in progress."""
         return sum(conn.busy for conn in self._connections)
 
-    def close_idle(self) -> None:
-        """Close idle connections, and the others after their request."""
-        self._closing = True
-        for conn in list(self._connections):
-            conn.close_soon()
-
     def announce_close(self) -> None:
-        """Let all connections say in their next response that they close after it."""
+        """Let all connections, also new ones, close after the next response."""
         self._closing = True
         for conn in self._connections:
+            conn.one_request = True
             conn.closing = conn.closing or conn.busy
 
+    def close_idle(self) -> None:
+        """Take no new connections, and close the others as soon as they are idle."""
+        self._accepting.cancel()
+        for conn in list(self._connections):
+            conn.close_soon()
+
     async def serve(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Accept connections until cancelled."""
         host, _, port = self._address.rpartition(":")
@@ -72,8 +74,8 @@
         await sock.bind((host, int(port)))
         sock.listen(BACKLOG)
         task_status.started()
-        with sock:
-            async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery:
+            with sock, self._accepting:
                 while True:
                     try:
                         accepted, _ = await sock.accept()
@@ -86,6 +88,7 @@
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
         conn = CallerConnection(stream=stream, limits=self._limits(), handle=self._handle)
+        conn.one_request = self._closing
         self._connections.add(conn)
         try:
             await conn.run()
@@ -120,8 +123,8 @@
         """Say not ready, serve what still arrives, then finish what is in progress."""
         self.draining = True
         started = trio.current_time()
-        quiet_s = min(DRAIN_NOTICE_S, self._grace_s / 2)
-        await trio.sleep(quiet_s)
+        self._callers.announce_close()
+        await trio.sleep(max(self._grace_s / 2, self._grace_s - LONGEST_REQUEST_S))
         self._callers.close_idle()
         with trio.move_on_at(started + self._grace_s - EXIT_MARGIN_S):
             while self._callers.open_connections:
@@ -129,7 +132,7 @@
         log.info("stopped", open=self._callers.open_connections)
 
 
-DRAIN_NOTICE_S = 2.6
-"""The platform asks once a second and needs two answers to stop sending new connections."""
+LONGEST_REQUEST_S = 2.6
+"""Most requests that arrive this long before the end of the grace time are served within it."""
 EXIT_MARGIN_S = 0.4
 POLL_S = 0.05
