--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -38,6 +38,7 @@
         self.configuration_read_at: float | None = None
         self.registry_serial = 0
         self._missing: dict[str, float] = {}
+        self._moving_since: dict[tuple[str, int], float] = {}
 
     @property
     def complete(self) -> bool:
@@ -76,8 +77,20 @@
         if current is not None and owners.revision <= current.revision:
             return
         self.owners[service] = owners
+        now = self._clock.now()
+        before = self._moving_since
+        self._moving_since = {key: at for key, at in before.items() if key[0] != service}
+        for span in owners.spans:
+            if span.moving:
+                key = (service, span.fence)
+                self._moving_since[key] = before.get(key, now)
         self._notify()
 
+    def moving_for_s(self, service: str, fence: int) -> float:
+        """Return for how long the move with a fencing token has been known to be under way."""
+        now = self._clock.now()
+        return now - self._moving_since.get((service, fence), now)
+
     def apply_registry(self, change: RegistryChange, *, age_s: float = 0.0) -> None:
         """Take changes of the registry that were read ``age_s`` seconds ago."""
         now = self._clock.now()
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -32,6 +32,7 @@
     from acaciasaddle.forward._types import Dialect
     from acaciasaddle.http1 import RawHeaders
     from acaciasaddle.http1 import Response
+    from acaciasaddle.keyspace import Span
 
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request that names none."""
@@ -40,7 +41,8 @@
 MIN_ATTEMPT_S = 0.02
 """With less time left a request is not sent any more."""
 OWNER_WAIT_S = 0.4
-"""A move takes two round trips and the rest of the work in progress, mostly less than this."""
+"""A move takes two round trips and the rest of the work in progress, mostly less than this. One
+that has taken longer waits for a lease to end, and its keys are refused at once."""
 NO_CONFIGURATION_RETRY_S = 0.5
 NO_OWNER_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.1
@@ -154,6 +156,8 @@
                 await self._after_failure(work, upstream, exc)
                 continue
             if self._dialect.is_not_run(resp.status, resp.fields):
+                if self._dialect.is_other_upstream(resp.fields, upstream.upstream_id):
+                    self._states.of(upstream.upstream_id).replaced = True
                 await self._after_rejection(work, upstream, resp.status)
                 continue
             if resp.status >= 500 and self._may_resend(work, upstream):
@@ -179,20 +183,30 @@
 
     async def _owner(self, work: _Work, key: int) -> UpstreamEntry:
         """Return the owner of a key, waiting a little while the key moves."""
-        wait_until = min(trio.current_time() + OWNER_WAIT_S, work.ends_at)
+        now = trio.current_time()
+        wait_until = min(now + OWNER_WAIT_S, work.ends_at)
+        service = work.service.name
         while True:
             changed = self._view.changed
-            entry = self._current_owner(work.service.name, key)
+            owners = self._view.owners.get(service)
+            span = owners.find(key) if owners is not None else None
+            entry = self._owner_of(span)
             if entry is not None:
+                silent_until = self._states.of(entry.upstream_id).silent_until(now)
+                if silent_until is not None:
+                    raise _refused("the owner is silent", silent_until - now, "choose")
                 return entry
+            if span is None or (
+                span.moving and self._view.moving_for_s(service, span.fence) > OWNER_WAIT_S
+            ):
+                raise _refused("the key has no owner now", NO_OWNER_RETRY_S, "choose")
             with trio.move_on_at(wait_until) as scope:
                 await changed.wait()
             if scope.cancelled_caught:
-                raise _refused("the key has no owner now", NO_OWNER_RETRY_S, "choose")
+                raise _refused("the key is still moving", NO_OWNER_RETRY_S, "choose")
 
-    def _current_owner(self, service: str, key: int) -> UpstreamEntry | None:
-        owners = self._view.owners.get(service)
-        span = owners.find(key) if owners is not None else None
+    def _owner_of(self, span: Span | None) -> UpstreamEntry | None:
+        """Return the upstream that holds a span and takes work."""
         if span is None or span.moving:
             return None
         entry = self._view.upstreams.get(span.owner.life.upstream_id)
@@ -306,6 +320,8 @@
             state.full(now, state.seconds)
         wait_s = state.seconds
         can_move = not keyed and len(work.tried) < work.route.max_upstreams
+        if state.replaced and keyed:
+            raise _refused("the owner has ended", NO_OWNER_RETRY_S, "send")
         if status == 421 and keyed:
             # The key has probably moved; the news of it is on its way.
             changed = self._view.changed
--- a/src/acaciasaddle/forward/_types.py
+++ b/src/acaciasaddle/forward/_types.py
@@ -67,6 +67,10 @@
     def is_not_run(self, status: int, fields: Mapping[str, str]) -> bool:
         """Whether the upstream states that it did not run the request."""
 
+    @abstractmethod
+    def is_other_upstream(self, fields: Mapping[str, str], upstream_id: str) -> bool:
+        """Whether a refusal comes from another upstream, to which the address belongs now."""
+
     @abstractmethod
     def is_signed(self, fields: Mapping[str, str]) -> bool:
         """Whether a response bears the upstream's signature."""
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -18,6 +18,8 @@
 FAILURE_PENALTY_S = 1.0
 """Time for which an upstream is avoided after a failure; doubles with each failure in a row."""
 MAX_PENALTY_S = 4.0
+SILENT_AFTER = 2
+"""Failures in a row after which an upstream is not tried again until its penalty is over."""
 REMOTE_FACTOR = 1.15
 """An upstream in another data centre has to be this much better to be chosen."""
 
@@ -30,6 +32,15 @@
     seconds: float = INITIAL_TIME_S
     failures: int = 0
     avoid_until: float = 0.0
+    replaced: bool = False
+
+    def silent_until(self, now: float) -> float | None:
+        """Return until when it is taken for silent, or ``None`` if it may be tried."""
+        if self.replaced:
+            return now + MAX_PENALTY_S
+        if self.failures >= SILENT_AFTER and self.avoid_until > now:
+            return self.avoid_until
+        return None
 
     def succeeded(self, seconds: float) -> None:
         """Note a response."""
@@ -69,6 +80,7 @@
     ) -> UpstreamEntry | None:
         """Return the upstream with the shortest expected wait, or ``None`` if none is left."""
         options = [entry for entry in upstreams if entry.upstream_id not in tried]
+        options = [e for e in options if not self.of(e.upstream_id).replaced]
         trusted = [e for e in options if self.of(e.upstream_id).avoid_until <= now]
         options = trusted or options
         if not options:
--- a/src/acaciasaddle/keyspace/__init__.py
+++ b/src/acaciasaddle/keyspace/__init__.py
@@ -6,6 +6,7 @@
 from acaciasaddle.keyspace._balance import Move
 from acaciasaddle.keyspace._balance import plan_moves
 from acaciasaddle.keyspace._balance import split
+from acaciasaddle.keyspace._coordinator import ROLE_LEASE_S
 from acaciasaddle.keyspace._coordinator import Coordinator
 from acaciasaddle.keyspace._load import KeyLoad
 from acaciasaddle.keyspace._load import LoadBook
@@ -17,11 +18,13 @@
 from acaciasaddle.keyspace._types import KeyOrders
 from acaciasaddle.keyspace._types import KeyRange
 from acaciasaddle.keyspace._types import Owner
+from acaciasaddle.keyspace._types import ReplacedError
 from acaciasaddle.keyspace._types import Span
 
 __all__ = [
     "KEY_COUNT",
     "OWNERS_TABLE",
+    "ROLE_LEASE_S",
     "Candidate",
     "Coordinator",
     "FencedError",
@@ -33,6 +36,7 @@
     "LoadSample",
     "Move",
     "Owner",
+    "ReplacedError",
     "Span",
     "plan_moves",
     "split",
--- a/src/acaciasaddle/keyspace/_balance.py
+++ b/src/acaciasaddle/keyspace/_balance.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from acaciasaddle.keyspace._types import KEY_COUNT
 from acaciasaddle.keyspace._types import KeyRange
 from acaciasaddle.keyspace._types import Owner
+from acaciasaddle.keyspace._types import Span
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -20,10 +22,9 @@
 
     from acaciasaddle.keyspace._load import KeyLoad
     from acaciasaddle.keyspace._types import KeyMap
-    from acaciasaddle.keyspace._types import Span
 
 PIECES = 4
-"""Pieces in which the keys of a leaving upstream are dealt out."""
+"""Pieces in which the keys of a leaving upstream are dealt out, at least."""
 MAX_BALANCING_MOVES = 6
 """Moves for balance in one round; each one stops its keys for a round trip or two."""
 IMBALANCE = 0.25
@@ -121,10 +122,13 @@
 def _rehome(owners: KeyMap, loads: _Loads, load: KeyLoad) -> list[Move]:
     """Move the keys of owners that take no more work."""
     moves = []
+    counts: dict[Owner, int] = {}
+    for span in owners.spans:
+        counts[span.owner] = counts.get(span.owner, 0) + 1
     for span in owners.spans:
         if span.moving or span.owner in loads.capacity:
             continue
-        for keys in split(span.keys, PIECES, load):
+        for keys in split(span.keys, max(1, PIECES // counts[span.owner]), load):
             target = loads.least()
             loads.move(keys, None, target)
             moves.append(Move(keys=keys, source=span.owner, target=target))
@@ -218,6 +222,26 @@
     return min(options, key=lambda keys: abs(loads.of(keys) - ideal))
 
 
+def join_spans(owners: KeyMap) -> KeyMap:
+    """Return a map in which neighbouring spans of one owner are one, at a new fencing token.
+
+    Each span costs an order at every renewal.
+    """
+    joined = owners
+    spans = list(owners.spans)
+    for left, right in itertools.pairwise(spans):
+        current = joined.find(left.keys.first)
+        if current is None or left.moving or right.moving or left.owner != right.owner:
+            continue
+        if right.keys.first != current.keys.last + 1:
+            continue
+        keys = KeyRange(current.keys.first, right.keys.last)
+        fence = joined.fence + 1
+        span = Span(keys=keys, owner=left.owner, fence=fence)
+        joined = joined.replaced(keys, [span], fence=fence)
+    return joined
+
+
 def candidates_by_speed(
     slots: Mapping[Owner, int], slowness: Mapping[Owner, float]
 ) -> list[Candidate]:
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -23,6 +23,7 @@
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.kernel import Service
 from acaciasaddle.keyspace._balance import candidates_by_speed
+from acaciasaddle.keyspace._balance import join_spans
 from acaciasaddle.keyspace._balance import plan_moves
 from acaciasaddle.keyspace._leases import Tenure
 from acaciasaddle.keyspace._leases import lease_end
@@ -30,6 +31,7 @@
 from acaciasaddle.keyspace._types import FencedError
 from acaciasaddle.keyspace._types import KeyMap
 from acaciasaddle.keyspace._types import Owner
+from acaciasaddle.keyspace._types import ReplacedError
 from acaciasaddle.keyspace._types import Span
 from acaciasaddle.observe import get_logger
 
@@ -46,24 +48,24 @@
 COORDINATOR_TABLE = "coordination"
 COORDINATOR_KEY = f"{COORDINATOR_TABLE}/coordinator"
 
-ROLE_LEASE_S = 2.0
+ROLE_LEASE_S = 1.5
 """Time after its last successful write for which a coordinator goes on giving orders."""
-ROLE_RENEWAL_S = 0.8
+ROLE_RENEWAL_S = 0.5
 """Two writes may fail within a role lease."""
-TAKEOVER_S = 2.2
+TAKEOVER_S = 1.6
 """A host takes over a role whose row has not changed for this long."""
-ROLE_POLL_S = 0.6
+ROLE_POLL_S = 0.5
 TICK_S = 0.25
-KEY_LEASE_S = 4.5
-"""Outlasts the loss of a coordinator: 2.2 s until the takeover, a poll and the first renewals."""
-KEY_RENEWAL_S = 1.0
+KEY_LEASE_S = 3.5
+"""Outlasts the loss of a coordinator: 1.6 s until the takeover, a poll and the first renewals."""
+KEY_RENEWAL_S = 0.8
 ORDER_TIMEOUT_S = 0.8
 RELEASE_TIMEOUT_S = 3.0
 """A release is answered when the work in progress has ended."""
 RELEASE_RETRY_S = 0.2
 LOST_AFTER_S = 1.2
 """Failures for this long, two orders in a row, make an upstream lost."""
-STORE_TROUBLE_S = 1.2
+STORE_TROUBLE_S = 0.9
 """Without a successful write for this long, renewals ask for the longest lease."""
 PROBE_INTERVAL_S = 1.0
 
@@ -182,8 +184,9 @@
         earlier = str(self._role_value.get("member", ""))
         own_earlier_life = earlier.partition("@")[0] == self._member.partition("@")[0]
         vacant = not earlier or own_earlier_life
-        if not vacant and now - self._seen_at < TAKEOVER_S:
-            await trio.sleep(ROLE_POLL_S)
+        left = TAKEOVER_S - (now - self._seen_at)
+        if not vacant and left > 0:
+            await trio.sleep(min(ROLE_POLL_S, left))
             return
         started = self._clock.now()
         try:
@@ -230,16 +233,24 @@
             )
             self._role_version = rows[0].version
             self._role_value = value
-            self._seen_at = self._written_at = started
-            self._held_until = 0.0 if released else started + ROLE_LEASE_S
+            self._note_written(started)
+            if released:
+                self._held_until = 0.0
             return rows[0].version
 
+    def _note_written(self, started: float) -> None:
+        """Note that the role's row was written by a call that started at a given time."""
+        self._seen_at = self._written_at = started
+        self._held_until = started + ROLE_LEASE_S
+
     async def _settle_role(self) -> bool:
         """After a write with an unknown outcome: take over what it did, or give up the role."""
         row = await self._table.read(COORDINATOR_KEY)
         if row is None or row.value.get("member") != self._member:
             return False
-        self._role_version = row.version
+        if row.version != self._role_version:
+            self._role_version = row.version
+            self._note_written(float(row.value["at"]))
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
         for found in scan.rows:
             service = found.key.partition("/")[2]
@@ -340,6 +351,8 @@
             balance=True,
         )
         changes = []
+        if not moves:
+            owners = join_spans(owners)
         for move in moves:
             owners, change = _apply(owners, service, move)
             changes.append(change)
@@ -384,7 +397,7 @@
         tenure = self._tenure(owner)
         # Later renewals leave these keys out, so only the leases granted so far matter.
         until = tenure.held_until
-        while not self._life_is_over(owner):
+        while not self._life_is_over(owner, tenure):
             left = until - self._clock.now()
             if left <= 0:
                 log.info(
@@ -395,18 +408,34 @@
                 )
                 return ""
             try:
-                return await self._orders.release(
-                    owner.address,
-                    span.keys,
-                    fence=span.fence,
-                    timeout_s=max(0.05, min(RELEASE_TIMEOUT_S, left)),
-                )
+                return await self._release(span, owner, tenure, min(RELEASE_TIMEOUT_S, left))
+            except ReplacedError as exc:
+                log.info("upstream has ended", upstream=owner.life.upstream_id, reason=str(exc))
+                tenure.ended = tenure.lost = True
+            except trio.TooSlowError:
+                log.debug("another release is tried at the lost upstream")
             except UpstreamError as exc:
                 log.warning("release failed", reason=str(exc), fence=span.fence)
             await trio.sleep(min(RELEASE_RETRY_S, max(0.0, until - self._clock.now())))
         return ""
 
-    def _life_is_over(self, owner: Owner) -> bool:
+    async def _release(self, span: Span, owner: Owner, tenure: Tenure, timeout_s: float) -> str:
+        if not tenure.lost:
+            return await self._orders.release(
+                owner, span.keys, fence=span.fence, timeout_s=timeout_s
+            )
+        with trio.fail_after(timeout_s):
+            await tenure.releasing.acquire()
+        try:
+            return await self._orders.release(
+                owner, span.keys, fence=span.fence, timeout_s=min(ORDER_TIMEOUT_S, timeout_s)
+            )
+        finally:
+            tenure.releasing.release()
+
+    def _life_is_over(self, owner: Owner, tenure: Tenure) -> bool:
+        if tenure.ended:
+            return True
         entry = self._view.upstreams.get(owner.life.upstream_id)
         return entry is not None and entry.life.started_ms > owner.life.started_ms
 
@@ -433,15 +462,23 @@
         trouble = now - self._written_at > STORE_TROUBLE_S
         lease_s = self._max_lease_s if trouble else KEY_LEASE_S
         tenure = self._tenure(span.owner)
-        tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
-        await self._orders.grant(
-            span.owner.address,
-            span.keys,
-            fence=span.fence,
-            lease_s=lease_s,
-            handover=handover,
-            timeout_s=ORDER_TIMEOUT_S,
-        )
+        before = tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
+        try:
+            await self._orders.grant(
+                span.owner,
+                span.keys,
+                fence=span.fence,
+                lease_s=lease_s,
+                handover=handover,
+                timeout_s=ORDER_TIMEOUT_S,
+            )
+        except ReplacedError:
+            tenure.ended = tenure.lost = True
+            raise
+        except UpstreamError as exc:
+            if exc.outcome is Outcome.NOT_RUN:
+                tenure.not_sent(before)
+            raise
         tenure.answered()
 
     async def _renew_leases(self, nursery: trio.Nursery) -> None:
@@ -465,8 +502,10 @@
                     continue
                 await self._grant(span)
         except FencedError as exc:
-            log.warning("renewal refused", reason=str(exc), fence=span.fence)
-            tenure.lost = True
+            # A renewal that was under way when its keys moved on is refused rightly.
+            if self._is_current(KeyChange(service=service, span=span)):
+                log.warning("renewal refused", reason=str(exc), fence=span.fence)
+                tenure.lost = True
         except UpstreamError as exc:
             log.warning("renewal failed", reason=str(exc), upstream=owner.life.upstream_id)
             if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
@@ -481,7 +520,7 @@
             await trio.sleep(PROBE_INTERVAL_S)
             registered = {entry.life: entry for entry in self._view.upstreams.values()}
             for owner, tenure in list(self._tenures.items()):
-                if not tenure.lost or owner.life not in registered:
+                if tenure.ended or not tenure.lost or owner.life not in registered:
                     continue
                 if await self._orders.reachable(owner.address, timeout_s=ORDER_TIMEOUT_S):
                     log.info("upstream reachable again", upstream=owner.life.upstream_id)
--- a/src/acaciasaddle/keyspace/_leases.py
+++ b/src/acaciasaddle/keyspace/_leases.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import trio
+
 CLOCK_DRIFT = 1.02
 """An upstream's clock may run 2% slow, so its leases last longer by that."""
 MARGIN_S = 0.15
@@ -21,17 +23,29 @@
     """What the coordinator knows of one life of an upstream that holds keys.
 
     ``held_until`` is the time by which all leases granted so far have surely ended.
-    ``failing_since`` is the time of the first of the failures in a row, or ``None``.
+    ``failing_since`` is the time of the first of the failures in a row, or ``None``. A life that
+    has ``ended`` holds nothing any more. One release at a time is tried at a lost upstream.
     """
 
     held_until: float
     failing_since: float | None = None
     lost: bool = False
-    renewing: bool = field(default=False)
-
-    def sending(self, *, now: float, timeout_s: float, lease_s: float) -> None:
-        """Note that a grant is about to be sent; it arrives within its timeout or never."""
-        self.held_until = max(self.held_until, lease_end(now + timeout_s, lease_s))
+    ended: bool = False
+    renewing: bool = False
+    releasing: trio.Lock = field(default_factory=trio.Lock)
+
+    def sending(self, *, now: float, timeout_s: float, lease_s: float) -> float:
+        """Note that a grant is about to be sent; it arrives within its timeout or never.
+
+        Returns what ``not_sent`` takes.
+        """
+        before = self.held_until
+        self.held_until = max(before, lease_end(now + timeout_s, lease_s))
+        return before
+
+    def not_sent(self, before: float) -> None:
+        """Take back ``sending``: the grant did not leave this host."""
+        self.held_until = before
 
     def answered(self) -> None:
         """Note that the upstream answered."""
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -31,6 +31,13 @@
         super().__init__(message, outcome=Outcome.NOT_RUN, step=step, peer=peer)
 
 
+class ReplacedError(UpstreamError):
+    """Another upstream answers at the address, so the one that was ordered has ended."""
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message, outcome=Outcome.NOT_RUN, step=step, peer=peer)
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class KeyRange:
     """Keys from ``first`` to ``last``, both included."""
@@ -172,7 +179,7 @@
     @abstractmethod
     async def grant(
         self,
-        address: str,
+        owner: Owner,
         keys: KeyRange,
         *,
         fence: int,
@@ -183,14 +190,15 @@
         """Grant or renew keys for a time that runs from the arrival of the order.
 
         ``handover`` is what the previous owner returned on release, or empty. Raises
-        ``FencedError``.
+        ``FencedError`` and ``ReplacedError``.
         """
 
     @abstractmethod
-    async def release(self, address: str, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
+    async def release(self, owner: Owner, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
         """Take keys back and return the handover, once the work in progress on them has ended.
 
-        The upstream refuses later grants of these keys with a lower fencing token.
+        The upstream refuses later grants of these keys with a lower fencing token. Raises
+        ``ReplacedError``.
         """
 
     @abstractmethod
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -15,6 +15,7 @@
 from acaciasaddle.errors import PeerError
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.kernel import Service
+from acaciasaddle.keyspace import ROLE_LEASE_S
 from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.keyspace import LoadSample
 from acaciasaddle.links._messages import REPORTS
@@ -81,12 +82,13 @@
         return self.linked() and self._ages_fit
 
     def linked(self) -> bool:
-        """Whether the coordinator has been heard of lately."""
+        """Whether a coordinator whose role has not lapsed has been heard of lately."""
         now = self._clock.now()
         return (
             not self._coordinator.leading
             and self._state_at is not None
             and now - self._state_at < SILENCE_S
+            and self._coordinator.role_age_s < ROLE_LEASE_S
         )
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
--- a/src/acaciasaddle/platform/_dialect.py
+++ b/src/acaciasaddle/platform/_dialect.py
@@ -41,6 +41,9 @@
         # Only these statuses come with the mark; on another one it contradicts itself.
         return _wire.NOT_EXECUTED in fields and status in (400, 421, 429, 503)
 
+    def is_other_upstream(self, fields: Mapping[str, str], upstream_id: str) -> bool:
+        return fields.get(_wire.UPSTREAM_ID, upstream_id) != upstream_id
+
     def is_signed(self, fields: Mapping[str, str]) -> bool:
         return bool(fields.get(_wire.SIGNATURE))
 
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -12,14 +12,19 @@
 from acaciasaddle.http1 import ClientConnection
 from acaciasaddle.keyspace import FencedError
 from acaciasaddle.keyspace import KeyOrders
+from acaciasaddle.keyspace import ReplacedError
 from acaciasaddle.observe import get_logger
 from acaciasaddle.platform._wire import HANDOVER
 from acaciasaddle.platform._wire import STORE_PREFIX
 
 if TYPE_CHECKING:
     from acaciasaddle.keyspace import KeyRange
+    from acaciasaddle.keyspace import Owner
 
 CONNECT_TIMEOUT_S = 0.5
+REPLACED_STATUSES = (400, 404, 421)
+"""Addresses of ended upstreams go to those of other services. Some check which upstream an order
+is meant for; the others find an order about keys malformed."""
 
 log = get_logger("orders")
 
@@ -32,7 +37,7 @@
 
     async def grant(
         self,
-        address: str,
+        owner: Owner,
         keys: KeyRange,
         *,
         fence: int,
@@ -49,11 +54,11 @@
         }
         if handover:
             body["handover"] = handover
-        await self._order("grant", address, body, timeout_s)
+        await self._order("grant", owner, body, timeout_s)
 
-    async def release(self, address: str, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
+    async def release(self, owner: Owner, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
         body: dict[str, object] = {"from": keys.first, "to": keys.last, "fence": fence}
-        return (await self._order("release", address, body, timeout_s)).get(HANDOVER, "")
+        return (await self._order("release", owner, body, timeout_s)).get(HANDOVER, "")
 
     async def reachable(self, address: str, *, timeout_s: float) -> bool:
         try:
@@ -70,12 +75,14 @@
             conn.abort()
 
     async def _order(
-        self, name: str, address: str, body: dict[str, object], timeout_s: float
+        self, name: str, owner: Owner, body: dict[str, object], timeout_s: float
     ) -> dict[str, str]:
+        address = owner.address
         data = json.dumps(body).encode()
         headers = [
             (b"Host", address.encode()),
             (b"Content-Type", b"application/json"),
+            (b"Target-Instance", owner.life.upstream_id.encode("latin-1")),
             (b"Content-Length", str(len(data)).encode()),
         ]
         conn: ClientConnection | None = None
@@ -102,6 +109,8 @@
             self._idle[address] = conn
         if resp.status == 409:
             raise FencedError("a higher fencing token was seen", step=step, peer=address)
+        if resp.status in REPLACED_STATUSES:
+            raise ReplacedError(f"answered with status {resp.status}", step=step, peer=address)
         if resp.status != 200:
             raise UpstreamError(
                 f"answered with status {resp.status}",
