--- /dev/null
+++ b/features/keyspace/coordinator.feature
@@ -0,0 +1,86 @@
+Feature: Coordinator of keys
+  Every key has one owner at most, whatever fails, and is without one for as short as can be.
+
+  Background:
+    Given a key fleet of 3 hosts and 6 upstreams
+
+  Scenario: keys are dealt out and stay owned
+    When the key fleet runs for 10 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 0 s
+
+  Scenario: a draining upstream hands its keys over
+    When after 1 s upstream "u2" drains
+    And the key fleet runs for 5 s
+    Then no key had two owners
+    And all keys are owned
+    And "u2" holds no key
+    And keys of "u2" were granted with its handover
+
+  Scenario: the keys of a silent upstream wait until its lease has ended
+    When after 1 s upstream "u3" falls silent
+    And the key fleet runs for 12 s
+    Then no key had two owners
+    And all keys are owned
+    And "u3" holds no key
+    And keys were without an owner for at most 2 s
+
+  Scenario: an upstream that answers no order but obeys it
+    When after 1 s upstream "u3" loses its answers
+    And after 2 s upstream "u3" drains
+    And the key fleet runs for 14 s
+    Then no key had two owners
+    And all keys are owned
+
+  Scenario: an upstream whose address went to another one holds nothing
+    When after 1 s the address of "u4" goes to another upstream
+    And the key fleet runs for 2 s
+    Then no key had two owners
+    And all keys are owned
+
+  Scenario: keys stay owned when the coordinator is killed
+    When after 1 s the coordinator is killed
+    And the key fleet runs for 8 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 0 s
+    And another host has the role
+
+  Scenario: keys stay owned while the store is down for nine seconds
+    When after 1 s the store is down for all hosts
+    And after 9 s the store is up
+    And the key fleet runs for 4 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 0 s
+
+  Scenario: another host takes over when the store turns the coordinator away
+    When after 1 s the store is down for the coordinator
+    And the key fleet runs for 5 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 0 s
+    And another host has the role
+
+  Scenario: moves go on when the answer to their write is lost
+    When after 1 s answers of the store are lost and upstream "u2" drains
+    And the key fleet runs for 6 s
+    Then no key had two owners
+    And all keys are owned
+    And "u2" holds no key
+
+  Scenario: a coordinator that reaches few upstreams gives the role back
+    When after 1 s the coordinator is cut off from the upstreams
+    And the key fleet runs for 8 s
+    Then no key had two owners
+    And all keys are owned
+    And another host has the role
+
+  Scenario: the coordinator is killed while a silent upstream still holds its keys
+    When after 1 s upstream "u3" falls silent
+    And after 2 s the coordinator is killed
+    And the key fleet runs for 20 s
+    Then no key had two owners
+    And all keys are owned
+    And "u3" holds no key
--- /dev/null
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -0,0 +1,170 @@
+"""Steps of keyspace/coordinator.feature."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from features.support.key_fleet import KeyFleet
+from features.support.key_fleet import play
+
+from acaciasaddle.emulator._store import StoreState
+
+
+class CoordinatorFaultSteps:
+    """Guards against two owners of a key, and against keys that are left without one."""
+
+    @staticmethod
+    @given("a key fleet of {hosts:d} hosts and {upstreams:d} upstreams")
+    def fleet(context: Any, hosts: int, upstreams: int) -> None:
+        context.key_fleet = KeyFleet(hosts=hosts, upstreams=upstreams)
+        context.script = []
+        context.first_leader = ""
+
+    @staticmethod
+    @when('after {pause:g} s upstream "{name}" drains')
+    def drain(context: Any, pause: float, name: str) -> None:
+        fleet = context.key_fleet
+
+        def act() -> None:
+            server = fleet.server(name)
+            server.entry = replace(server.entry, draining=True)
+            fleet.register()
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when('after {pause:g} s upstream "{name}" falls silent')
+    def silent(context: Any, pause: float, name: str) -> None:
+        server = context.key_fleet.server(name)
+        context.script.append((pause, lambda: setattr(server, "silent", True)))
+
+    @staticmethod
+    @when('after {pause:g} s upstream "{name}" loses its answers')
+    def lose(context: Any, pause: float, name: str) -> None:
+        server = context.key_fleet.server(name)
+        context.script.append((pause, lambda: setattr(server, "loses_answers", True)))
+
+    @staticmethod
+    @when('after {pause:g} s the address of "{name}" goes to another upstream')
+    def replaced(context: Any, pause: float, name: str) -> None:
+        server = context.key_fleet.server(name)
+
+        def act() -> None:
+            server.replaced, server.alive = True, False
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("after {pause:g} s the coordinator is killed")
+    def kill(context: Any, pause: float) -> None:
+        def act() -> None:
+            leader = context.key_fleet.leader()
+            context.first_leader = leader.name
+            leader.scope.cancel()
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("after {pause:g} s the store is down for all hosts")
+    def store_down(context: Any, pause: float) -> None:
+        def act() -> None:
+            for host in context.key_fleet.hosts:
+                host.table.faults.store = StoreState.DOWN
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("after {pause:g} s the store is up")
+    def store_up(context: Any, pause: float) -> None:
+        def act() -> None:
+            for host in context.key_fleet.hosts:
+                host.table.faults.store = StoreState.UP
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("after {pause:g} s the store is down for the coordinator")
+    def store_refuses(context: Any, pause: float) -> None:
+        def act() -> None:
+            leader = context.key_fleet.leader()
+            context.first_leader = leader.name
+            leader.table.faults.store = StoreState.DOWN
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when('after {pause:g} s answers of the store are lost and upstream "{name}" drains')
+    def lost_answers(context: Any, pause: float, name: str) -> None:
+        fleet = context.key_fleet
+
+        def act() -> None:
+            fleet.leader().table.faults.lose_answers = 3
+            server = fleet.server(name)
+            server.entry = replace(server.entry, draining=True)
+            fleet.register()
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("after {pause:g} s the coordinator is cut off from the upstreams")
+    def cut(context: Any, pause: float) -> None:
+        def act() -> None:
+            leader = context.key_fleet.leader()
+            context.first_leader = leader.name
+            leader.orders.cut = True
+
+        context.script.append((pause, act))
+
+    @staticmethod
+    @when("the key fleet runs for {seconds:g} s")
+    def run(context: Any, seconds: float) -> None:
+        fleet = context.key_fleet
+
+        def note_end() -> None:
+            context.unowned = fleet.unowned()
+            leader = fleet.leader()
+            context.last_leader = leader.name if leader else ""
+            context.held = {
+                s.entry.upstream_id: [b for b in range(64) if s.holds(b)] for s in fleet.servers
+            }
+
+        play(fleet, [*context.script, (seconds, note_end)])
+
+
+class CoordinatorOutcomeSteps:
+    """States what the upstreams saw."""
+
+    @staticmethod
+    @then("no key had two owners")
+    def one_owner(context: Any) -> None:
+        assert not context.key_fleet.violations, context.key_fleet.violations[:5]
+
+    @staticmethod
+    @then("all keys are owned")
+    def owned(context: Any) -> None:
+        assert not context.unowned, context.unowned
+
+    @staticmethod
+    @then("keys were without an owner for at most {seconds:g} s")
+    def unowned(context: Any, seconds: float) -> None:
+        assert context.key_fleet.unowned_s <= seconds, context.key_fleet.unowned_s
+
+    @staticmethod
+    @then('"{name}" holds no key')
+    def holds_none(context: Any, name: str) -> None:
+        assert not context.held[name], context.held[name]
+
+    @staticmethod
+    @then('keys of "{name}" were granted with its handover')
+    def handover(context: Any, name: str) -> None:
+        handovers = {handover for _, _, handover in context.key_fleet.grants}
+        assert f"handover-{name}" in handovers, handovers
+
+    @staticmethod
+    @then("another host has the role")
+    def other(context: Any) -> None:
+        assert context.last_leader not in ("", context.first_leader), context.last_leader
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -74,7 +74,7 @@
     def apply_owners(self, service: str, owners: KeyMap) -> None:
         """Take the owners of a service's keys if they are newer than the known ones."""
         current = self.owners.get(service)
-        if current is not None and owners.revision <= current.revision:
+        if current is not None and owners.version <= current.version:
             return
         self.owners[service] = owners
         now = self._clock.now()
--- a/src/acaciasaddle/keyspace/_balance.py
+++ b/src/acaciasaddle/keyspace/_balance.py
@@ -23,8 +23,10 @@
     from acaciasaddle.keyspace._load import KeyLoad
     from acaciasaddle.keyspace._types import KeyMap
 
-PIECES = 4
+PIECES = 8
 """Pieces in which the keys of a leaving upstream are dealt out, at least."""
+MOVE_PARTS = 3
+"""Parts in which keys move for balance; each one is released on its own."""
 MAX_BALANCING_MOVES = 6
 """Moves for balance in one round; each one stops its keys for a round trip or two."""
 IMBALANCE = 0.25
@@ -182,7 +184,9 @@
         if keys is None:
             continue
         loads.move(keys, source, target)
-        moves.append(Move(keys=keys, source=source, target=target))
+        # A release waits for the work in progress on its keys; most of the parts have none.
+        for part in split(keys, MOVE_PARTS, load):
+            moves.append(Move(keys=part, source=source, target=target))
     return moves
 
 
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -68,6 +68,11 @@
 STORE_TROUBLE_S = 0.9
 """Without a successful write for this long, renewals ask for the longest lease."""
 PROBE_INTERVAL_S = 1.0
+MAX_LOST_SHARE = 0.5
+"""A host to which more of the upstreams are lost at the same time gives the role back."""
+MIN_LOST_TO_YIELD = 3
+YIELD_S = 5.0
+"""Time for which a host that gave the role back does not compete."""
 
 log = get_logger("coordinator")
 
@@ -114,8 +119,10 @@
         self._owners: dict[str, KeyMap] = {}
         self._tenures: dict[Owner, Tenure] = {}
         self._completed: list[KeyChange] = []
+        self._under_way: set[tuple[str, int]] = set()
         self._writing = trio.Lock()
         self._stopping = False
+        self._yielded_at: float | None = None
         self.leading = False
         self.linked: Callable[[], bool] = lambda: False
 
@@ -178,7 +185,8 @@
         if version != self._role_version or self._seen_at == 0.0:
             self._role_version, self._seen_at = version, now
             self._role_value = dict(row.value) if row is not None else {}
-        if self._stopping or not self._view.complete:
+        resting = self._yielded_at is not None and now - self._yielded_at < YIELD_S
+        if self._stopping or resting or not self._view.complete:
             await trio.sleep(TICK_S)
             return
         earlier = str(self._role_value.get("member", ""))
@@ -201,11 +209,12 @@
     async def _load_owners(self, *, taken_at: float, vacant: bool) -> None:
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
         self._owners = {
-            row.key.partition("/")[2]: KeyMap.from_json(row.value, revision=row.revision)
+            row.key.partition("/")[2]: KeyMap.from_json(row.value, version=row.version)
             for row in scan.rows
         }
         self._tenures.clear()
         self._completed.clear()
+        self._under_way.clear()
         # The previous coordinator may have renewed until its role lapsed, for the longest lease.
         lapse_s = 0.0 if vacant else ROLE_LEASE_S
         until = lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s)
@@ -221,8 +230,11 @@
         puts: dict[str, Any],
         *,
         released: bool = False,
-    ) -> int:
-        """Write the role's row, with other rows, if this host's view of it is current."""
+    ) -> dict[str, int]:
+        """Write the role's row, with other rows, if this host's view of it is current.
+
+        Returns the new version of each row.
+        """
         async with self._writing:
             started = self._clock.now()
             member = "" if released else self._member
@@ -231,12 +243,12 @@
                 conditions={COORDINATOR_KEY: self._role_version, **conditions},
                 puts={COORDINATOR_KEY: value, **puts},
             )
-            self._role_version = rows[0].version
+            self._role_version = next(row.version for row in rows if row.key == COORDINATOR_KEY)
             self._role_value = value
             self._note_written(started)
             if released:
                 self._held_until = 0.0
-            return rows[0].version
+            return {row.key: row.version for row in rows}
 
     def _note_written(self, started: float) -> None:
         """Note that the role's row was written by a call that started at a given time."""
@@ -255,19 +267,20 @@
         for found in scan.rows:
             service = found.key.partition("/")[2]
             current = self._owners.get(service)
-            if current is None or current.revision != found.revision:
-                # The lost write took effect; its orders are given from the table's state.
-                self._owners[service] = KeyMap.from_json(found.value, revision=found.revision)
+            if current is None or current.version != found.version:
+                # The lost write took effect.
+                self._adopt(service, KeyMap.from_json(found.value, version=found.version))
         return True
 
+    def _adopt(self, service: str, owners: KeyMap) -> None:
+        """Act on owners that stand in the table, and let this host's view have them."""
+        self._owners[service] = owners
+        self._view.apply_owners(service, owners)
+
     # While leading.
 
     async def _lead(self) -> None:
         async with trio.open_nursery() as nursery:
-            for service, owners in self._owners.items():
-                for span in owners.spans:
-                    if span.moving:
-                        nursery.start_soon(self._carry_out, KeyChange(service=service, span=span))
             nursery.start_soon(self._renew_leases, nursery)
             nursery.start_soon(self._probe_lost)
             unknown = False
@@ -276,7 +289,13 @@
                     if unknown and not await self._settle_role():
                         break
                     unknown = False
-                    await self._round(nursery)
+                    if self._is_cut_off():
+                        log.warning("most upstreams are out of reach, giving the role back")
+                        await self._write_role({}, {}, released=True)
+                        self._yielded_at = self._clock.now()
+                        break
+                    await self._round()
+                    self._start_moves(nursery)
                 except ConditionFailedError as exc:
                     log.info("role lost", reason=str(exc))
                     break
@@ -290,8 +309,26 @@
             nursery.cancel_scope.cancel()
         self._seen_at = 0.0
 
-    async def _round(self, nursery: trio.Nursery) -> None:
-        """Plan, write and start one round of changes; renew the role if it is due."""
+    def _is_cut_off(self) -> bool:
+        """Whether this host, rather than its upstreams, is the one that is out of reach."""
+        known = [
+            tenure
+            for entry in self._view.upstreams.values()
+            for tenure in [self._tenures.get(Owner(life=entry.life, address=entry.address))]
+            if tenure is not None and not tenure.ended
+        ]
+        lost = sum(tenure.lost for tenure in known)
+        return lost >= MIN_LOST_TO_YIELD and lost > len(known) * MAX_LOST_SHARE
+
+    def _start_moves(self, nursery: trio.Nursery) -> None:
+        for service, owners in self._owners.items():
+            for span in owners.spans:
+                if span.moving and (service, span.fence) not in self._under_way:
+                    self._under_way.add((service, span.fence))
+                    nursery.start_soon(self._carry_out, KeyChange(service=service, span=span))
+
+    async def _round(self) -> None:
+        """Plan and write one round of changes; renew the role if it is due."""
         now = self._clock.now()
         planned: list[KeyChange] = []
         owners = dict(self._owners)
@@ -301,7 +338,7 @@
         cfg = self._view.configuration
         keyed = [svc.name for svc in cfg.services.values() if svc.keyed] if cfg else []
         for service in keyed:
-            current = owners.get(service, KeyMap(spans=(), fence=0, revision=0))
+            current = owners.get(service, KeyMap(spans=(), fence=0, version=0))
             owners[service], changes = self._plan(service, current, now)
             planned += changes
         changed = {
@@ -310,18 +347,17 @@
         if not changed and now - self._written_at < ROLE_RENEWAL_S:
             return
         conditions = {
-            f"{OWNERS_TABLE}/{name}": self._owners[name].revision if name in self._owners else 0
+            f"{OWNERS_TABLE}/{name}": self._owners[name].version if name in self._owners else 0
             for name in changed
         }
         puts = {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in changed.items()}
         try:
-            revision = await self._write_role(conditions, puts)
+            versions = await self._write_role(conditions, puts)
         except PlatformError:
             self._completed = completed + self._completed
             raise
         for name, value in changed.items():
-            self._owners[name] = replace(value, revision=revision)
-            self._view.apply_owners(name, self._owners[name])
+            self._adopt(name, replace(value, version=versions[f"{OWNERS_TABLE}/{name}"]))
         for change in planned:
             log.info(
                 "keys move",
@@ -331,9 +367,8 @@
                 fence=change.span.fence,
                 source=change.span.previous.life.upstream_id if change.span.previous else "",
                 target=change.span.owner.life.upstream_id,
-                revision=revision,
+                version=self._owners[change.service].version,
             )
-            nursery.start_soon(self._carry_out, change)
 
     def _plan(self, service: str, owners: KeyMap, now: float) -> tuple[KeyMap, list[KeyChange]]:
         usable = {}
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -83,7 +83,7 @@
 
     spans: tuple[Span, ...]
     fence: int
-    revision: int
+    version: int
 
     def find(self, key: int) -> Span | None:
         """Return the span that holds a key, or ``None`` if the key has no owner."""
@@ -125,7 +125,7 @@
         }
 
     @classmethod
-    def from_json(cls, value: JsonObject, *, revision: int) -> KeyMap:
+    def from_json(cls, value: JsonObject, *, version: int) -> KeyMap:
         """Read the JSON value."""
         owners = [
             Owner(life=UpstreamLife(upstream_id=name, started_ms=started), address=address)
@@ -141,7 +141,7 @@
             )
             for first, last, owner, fence, moving, previous in value["spans"]
         )
-        return cls(spans=spans, fence=value["fence"], revision=revision)
+        return cls(spans=spans, fence=value["fence"], version=version)
 
     def replaced(self, keys: KeyRange, spans: Iterable[Span], *, fence: int) -> KeyMap:
         """Return a map in which ``keys`` is cut out of its spans and ``spans`` take its place."""
@@ -150,7 +150,7 @@
             result.extend(_without(span, keys))
         result.extend(spans)
         result.sort(key=lambda span: span.keys.first)
-        return KeyMap(spans=tuple(result), fence=max(fence, self.fence), revision=self.revision)
+        return KeyMap(spans=tuple(result), fence=max(fence, self.fence), version=self.version)
 
 
 def _without(span: Span, keys: KeyRange) -> list[Span]:
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -153,7 +153,7 @@
 
     async def _send_states(self, frames: FrameStream, scope: trio.CancelScope) -> None:
         version, serial = 0, -1
-        revisions: dict[str, int] = {}
+        versions: dict[str, int] = {}
         try:
             while self._coordinator.leading:
                 changed = self._view.changed
@@ -171,15 +171,15 @@
                         else None
                     ),
                     owners={
-                        name: (value.revision, value.to_json())
+                        name: (value.version, value.to_json())
                         for name, value in owners.items()
-                        if revisions.get(name) != value.revision
+                        if versions.get(name) != value.version
                     },
                     busy=self.total_busy,
                 )
                 version = cfg.version if cfg is not None else 0
                 serial = self._view.registry_serial
-                revisions = {name: value.revision for name, value in owners.items()}
+                versions = {name: value.version for name, value in owners.items()}
                 with trio.fail_after(SILENCE_S):
                     await frames.send(state)
                 with trio.move_on_after(INTERVAL_S):
@@ -252,5 +252,5 @@
                     entries={entry.upstream_id: entry for entry in entries},
                 )
                 self._view.apply_registry(change, age_s=state.registry_age_s)
-        for service, (revision, value) in state.owners.items():
-            self._view.apply_owners(service, KeyMap.from_json(value, revision=revision))
+        for service, (version, value) in state.owners.items():
+            self._view.apply_owners(service, KeyMap.from_json(value, version=version))
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -38,7 +38,7 @@
 class State(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """What the coordinator believes. Parts that have not changed are ``None`` or empty.
 
-    Ages are in seconds. ``owners`` maps a service to the revision and JSON value of its keys'
+    Ages are in seconds. ``owners`` maps a service to the version and JSON value of its keys'
     owners.
     """
 
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -127,7 +127,7 @@
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=since, wait_s=FEED_WAIT_S)
         for row in scan.rows:
             service = row.key.partition("/")[2]
-            self._view.apply_owners(service, KeyMap.from_json(row.value, revision=row.revision))
+            self._view.apply_owners(service, KeyMap.from_json(row.value, version=row.version))
         return scan.revision
 
     async def _read_registry(self, since: int) -> int:
