--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -55,6 +55,7 @@
 TAKEOVER_S = 1.6
 """A host takes over a role whose row has not changed for this long."""
 ROLE_POLL_S = 0.5
+MIN_PAUSE_S = 0.01
 TICK_S = 0.25
 KEY_LEASE_S = 3.5
 """Outlasts the loss of a coordinator: 1.6 s until the takeover, a poll and the first renewals."""
@@ -194,7 +195,8 @@
         vacant = not earlier or own_earlier_life
         left = TAKEOVER_S - (now - self._seen_at)
         if not vacant and left > 0:
-            await trio.sleep(min(ROLE_POLL_S, left))
+            # A pause below the clock's resolution would not end.
+            await trio.sleep(max(MIN_PAUSE_S, min(ROLE_POLL_S, left)))
             return
         started = self._clock.now()
         try:
