--- /dev/null
+++ b/features/callers/connection.feature
@@ -0,0 +1,59 @@
+Feature: Connections of callers
+  Requests are answered completely and in their order, and nothing smuggled in passes.
+
+  Scenario: requests that are sent ahead are served side by side and answered in order
+    Given a listener whose handler takes "0.2, 0.05, 0.1" s
+    When a caller sends "GET /1, GET /2, GET /3" at once
+    Then the answers are "200 /1, 200 /2, 200 /3"
+    And they took less than 0.3 s
+
+  Scenario: a body in chunks arrives whole
+    Given a listener whose handler takes "0" s
+    When a caller sends a chunked body "wedding band"
+    Then the answers are "200 /upload wedding band"
+
+  Scenario Outline: a request that can be read in two ways is refused and the connection closed
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "<request>"
+    Then the answers are "<answer>"
+    And the handler saw <count> requests
+
+    Examples:
+      | request                                                                             | answer  | count |
+      | POST / HTTP/1.1~Host: a~Content-Length: 3~Transfer-Encoding: chunked~~0~~GET /x     | 400     | 0     |
+      | POST / HTTP/1.1~Host: a~Content-Length: 3~Content-Length: 4~~abcd                   | 400     | 0     |
+      | GET / HTTP/1.1~~~                                                                   | 400     | 0     |
+      | POST / HTTP/1.1~Host: a~Transfer-Encoding: gzip, chunked~~0~~                       | 501     | 0     |
+
+  Scenario: a body over the limit is refused
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "POST / HTTP/1.1~Host: a~Content-Length: 2000~~{2000}"
+    Then the answers are "413"
+    And the handler saw 0 requests
+
+  Scenario: a head over the limit is refused
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "GET /{5000} HTTP/1.1~Host: a~~"
+    Then the answers are "431"
+
+  Scenario: an idle connection is closed
+    Given a listener whose handler takes "0" s
+    When a caller sends nothing for 0.5 s
+    Then the connection has ended
+
+  Scenario: a head that never ends is refused
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "GET / HTTP/1.1~Host" and waits
+    Then the answers are "408"
+
+  Scenario: work ends when its caller leaves
+    Given a listener whose handler takes "5" s
+    When a caller sends "GET /1" at once and leaves after 0.05 s
+    Then the handler was cancelled within 0.2 s
+
+  Scenario: a listener that stops answers what it has read and closes
+    Given a listener whose handler takes "0.2" s
+    When a caller sends "GET /1, GET /2" at once and the listener stops after 0.05 s
+    Then the answers are "200 /1, 200 /2"
+    And the last answer closes the connection
+    And no new connection is accepted
--- /dev/null
+++ b/features/keyspace/balance.feature
@@ -0,0 +1,47 @@
+Feature: Balance of keys
+  Load patterns of the heaviest days, answered without a network.
+
+  Scenario: upstreams of different speed get load by their speed
+    Given key owners "fast 0-32767, slow 32768-65535" of which "slow" takes 2 times as long
+    And 600 requests for evenly spread keys
+    When the keys are balanced for 12 rounds
+    Then the load of "fast" is between 1.6 and 2.5 times that of "slow"
+
+  Scenario: a range of hot keys is split until no upstream holds more than its part
+    Given key owners "a 0-16383, b 16384-32767, c 32768-49151, d 49152-65535"
+    And 300 requests for evenly spread keys
+    And 200 requests for 60 keys from 1000
+    When the keys are balanced for 20 rounds
+    Then no upstream has more than 1.35 times the mean load
+
+  Scenario: an upstream that joins gets keys without any samples
+    Given key owners "a 0-32767, b 32768-65535"
+    And an upstream "c" without keys
+    When the keys are balanced for 6 rounds
+    Then "c" holds keys
+
+  Scenario: the keys of a leaving upstream are dealt out among the others by load
+    Given key owners "a 0-16383, b 16384-32767, c 32768-49151, d 49152-65535"
+    And 400 requests for evenly spread keys
+    When "b" leaves and the keys are planned
+    Then "b" holds no planned keys
+    And no upstream has more than 1.35 times the mean load
+
+  Scenario: a level load moves nothing
+    Given key owners "a 0-32767, b 32768-65535"
+    And 400 requests for evenly spread keys
+    When the keys are balanced for 3 rounds
+    Then no keys have moved
+
+  Scenario: keys that are on their way are left alone
+    Given key owners "a 0-32767, b 32768-65535"
+    And the keys of "a" are moving
+    And 400 requests for 60 keys from 1000
+    When the keys are balanced for 1 rounds
+    Then no keys have moved
+
+  Scenario: neighbouring ranges of one owner are joined at a new fencing token
+    Given key owners "a 0-99, a 100-32767, b 32768-65535"
+    When neighbouring ranges are joined
+    Then the owners are "a 0-32767, b 32768-65535"
+    And the fencing token of the first range is above all earlier ones
--- /dev/null
+++ b/features/steps/callers_connection_steps.py
@@ -0,0 +1,202 @@
+"""Steps of callers/connection.feature, on loopback."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import h11
+import trio
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.callers import HttpServer
+from acaciasaddle.forward import Reply
+from acaciasaddle.routing import CallerLimits
+
+if TYPE_CHECKING:
+    from acaciasaddle.forward import CallerRequest
+
+LIMITS = CallerLimits(
+    max_header_bytes=4096, max_body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.3
+)
+ADDRESS = "127.0.0.1:0"
+
+
+class CallerSteps:
+    """Guards against answers that are mixed up, cut off or given to smuggled requests."""
+
+    @staticmethod
+    @given('a listener whose handler takes "{times}" s')
+    def listener(context: Any, times: str) -> None:
+        context.times = [float(value) for value in times.split(", ")]
+        context.seen = []
+        context.cancelled_at = None
+
+    @staticmethod
+    async def _handle(context: Any, req: CallerRequest) -> Reply:
+        seconds = context.times[min(len(context.seen), len(context.times) - 1)]
+        context.seen.append(req)
+        try:
+            await trio.sleep(seconds)
+        except trio.Cancelled:
+            context.cancelled_at = time.monotonic()
+            raise
+        body = req.target.encode()
+        if req.body:
+            body += b" " + req.body
+        return Reply(status=200, headers=[], body=body)
+
+    @staticmethod
+    def _talk(
+        context: Any, data: bytes, *, leave_s: float | None = None, stop_s: float | None = None
+    ) -> None:
+        async def handle(req: CallerRequest) -> Reply:
+            return await CallerSteps._handle(context, req)
+
+        async def main() -> None:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            listeners[0].socket.close()
+            server = HttpServer(address=address, limits=lambda: LIMITS, handle=handle)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                host, _, port = address.rpartition(":")
+                stream = await trio.open_tcp_stream(host, int(port))
+                context.started = time.monotonic()
+                if data:
+                    await stream.send_all(data)
+                if stop_s is not None:
+                    await trio.sleep(stop_s)
+                    server.announce_close()
+                    server.close_idle()
+                if leave_s is not None:
+                    await trio.sleep(leave_s)
+                    context.left_at = time.monotonic()
+                    await stream.aclose()
+                    await trio.sleep(0.3)
+                else:
+                    await CallerSteps._read(context, stream)
+                    context.took = time.monotonic() - context.started
+                try:
+                    await trio.open_tcp_stream(host, int(port))
+                    context.accepts = True
+                except OSError:
+                    context.accepts = False
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    async def _read(context: Any, stream: trio.SocketStream) -> None:
+        raw = b""
+        with trio.move_on_after(2.0):
+            while True:
+                try:
+                    part = await stream.receive_some(65_536)
+                except trio.BrokenResourceError:
+                    break
+                if not part:
+                    break
+                raw += part
+        context.ended = True
+        context.answers = []
+        context.closes = False
+        while raw:
+            parser = h11.Connection(h11.CLIENT)
+            parser.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+            parser.send(h11.EndOfMessage())
+            parser.receive_data(raw)
+            head = parser.next_event()
+            body = b""
+            while isinstance(event := parser.next_event(), h11.Data):
+                body += bytes(event.data)
+            assert isinstance(event, h11.EndOfMessage), event
+            context.answers.append(f"{head.status_code} {body.decode()}".strip())
+            context.closes = (b"connection", b"close") in list(head.headers)
+            raw = parser.trailing_data[0]
+
+    @staticmethod
+    def _requests(text: str) -> bytes:
+        lines = (f"{item} HTTP/1.1\r\nHost: a\r\n\r\n" for item in text.split(", "))
+        return "".join(lines).encode()
+
+    @staticmethod
+    @when('a caller sends "{requests}" at once')
+    def send(context: Any, requests: str) -> None:
+        CallerSteps._talk(context, CallerSteps._requests(requests))
+
+    @staticmethod
+    @when('a caller sends "{requests}" at once and leaves after {seconds:g} s')
+    def leave(context: Any, requests: str, seconds: float) -> None:
+        CallerSteps._talk(context, CallerSteps._requests(requests), leave_s=seconds)
+
+    @staticmethod
+    @when('a caller sends "{requests}" at once and the listener stops after {seconds:g} s')
+    def stop(context: Any, requests: str, seconds: float) -> None:
+        CallerSteps._talk(context, CallerSteps._requests(requests), stop_s=seconds)
+
+    @staticmethod
+    @when('a caller sends a chunked body "{body}"')
+    def chunked(context: Any, body: str) -> None:
+        half = len(body) // 2
+        chunks = "".join(f"{len(part):x}\r\n{part}\r\n" for part in (body[:half], body[half:]))
+        head = "POST /upload HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        CallerSteps._talk(context, f"{head}{chunks}0\r\n\r\n".encode())
+
+    @staticmethod
+    @when('a caller sends the raw request "{text}"')
+    @when('a caller sends the raw request "{text}" and waits')
+    def raw(context: Any, text: str) -> None:
+        for count in (2000, 5000):
+            text = text.replace(f"{{{count}}}", "x" * count)
+        CallerSteps._talk(context, text.replace("~", "\r\n").encode())
+
+    @staticmethod
+    @when("a caller sends nothing for {seconds:g} s")
+    def nothing(context: Any, seconds: float) -> None:
+        CallerSteps._talk(context, b"")
+
+
+class CallerOutcomeSteps:
+    """States what the caller received."""
+
+    @staticmethod
+    @then('the answers are "{expected}"')
+    def answers(context: Any, expected: str) -> None:
+        assert ", ".join(context.answers) == expected, context.answers
+
+    @staticmethod
+    @then("they took less than {seconds:g} s")
+    def quick(context: Any, seconds: float) -> None:
+        # The connection ends by its idle timeout, which starts with the last answer.
+        assert context.took - LIMITS.idle_timeout_s < seconds, context.took
+
+    @staticmethod
+    @then("the handler saw {count:d} requests")
+    def seen(context: Any, count: int) -> None:
+        assert len(context.seen) == count, context.seen
+
+    @staticmethod
+    @then("the connection has ended")
+    def ended(context: Any) -> None:
+        assert context.ended
+        assert context.took < 1.5, context.took
+
+    @staticmethod
+    @then("the handler was cancelled within {seconds:g} s")
+    def cancelled(context: Any, seconds: float) -> None:
+        assert context.cancelled_at is not None
+        assert context.cancelled_at - context.left_at < seconds
+
+    @staticmethod
+    @then("the last answer closes the connection")
+    def closes(context: Any) -> None:
+        assert context.closes
+
+    @staticmethod
+    @then("no new connection is accepted")
+    def closed(context: Any) -> None:
+        assert not context.accepts
--- /dev/null
+++ b/features/steps/forward_forwarder_steps.py
@@ -0,0 +1,293 @@
+"""Steps of forward/forwarder.feature: real connections on loopback, scripted upstreams."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+from features.support.scripted_upstream import ANSWERS
+from features.support.scripted_upstream import ScriptedServer
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.fleet import FleetView
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.fleet import UpstreamEntry
+from acaciasaddle.fleet import UpstreamLife
+from acaciasaddle.forward import BudgetTerms
+from acaciasaddle.forward import CallerRequest
+from acaciasaddle.forward import Forwarder
+from acaciasaddle.forward import RepeatBudget
+from acaciasaddle.keyspace import KeyMap
+from acaciasaddle.keyspace import KeyRange
+from acaciasaddle.keyspace import Owner
+from acaciasaddle.keyspace import Span
+from acaciasaddle.platform import PlatformDialect
+from acaciasaddle.routing import CallerLimits
+from acaciasaddle.routing import Configuration
+from acaciasaddle.routing import Repeat
+from acaciasaddle.routing import Route
+from acaciasaddle.routing import Service
+from acaciasaddle.routing import Target
+
+TIMEOUT_S = 0.4
+UNREACHABLE = "127.0.0.1:9"
+
+
+def _route(name: str, service: str, repeat: Repeat) -> Route:
+    return Route(
+        name=name,
+        host="a.example",
+        prefix=f"/{name}/",
+        repeat=repeat,
+        bulky=False,
+        targets=(Target(service=service, weight=1.0),),
+        timeout_s=TIMEOUT_S,
+        objective_s=0.2,
+        max_upstreams=2,
+        rank=0,
+    )
+
+
+def _service(name: str) -> Service:
+    return Service(
+        name=name, health_path="/", max_connections=130, keyed=name == "keyed", warmup_s=0.0
+    )
+
+
+CONFIGURATION = Configuration(
+    version=1,
+    routes=(
+        _route("lookup", "open", Repeat.IDEMPOTENT),
+        _route("booking", "open", Repeat.ONCE),
+        _route("keyed", "keyed", Repeat.IDEMPOTENT),
+    ),
+    services={name: _service(name) for name in ("open", "keyed")},
+    limits=CallerLimits(),
+)
+
+
+def _request(path: str, number: int, key: int | None = None) -> CallerRequest:
+    headers = [
+        (b"Host", b"a.example"),
+        (b"Request-Id", f"r-{number}".encode()),
+        (b"Request-Deadline", b"500"),
+        (b"Connection", b"keep-alive"),
+    ]
+    if key is not None:
+        headers.append((b"Shard-Key", str(key).encode()))
+    return CallerRequest(
+        method="GET",
+        target=path,
+        headers=headers,
+        fields={name.decode().lower(): value.decode() for name, value in headers},
+        body=b"",
+        received_at=trio.current_time(),
+    )
+
+
+class ForwarderSetUp:
+    """Describes upstreams, owners and the budget."""
+
+    @staticmethod
+    @given('upstream "{name}" of the {service} service answers "{answers}"')
+    def upstream(context: Any, name: str, service: str, answers: str) -> None:
+        script = [ANSWERS[answer] for answer in answers.split(", ")]
+        ForwarderSetUp._add(context, name, service, ScriptedServer(answers=script))
+
+    @staticmethod
+    @given('an unreachable upstream "{name}" of the {service} service')
+    def unreachable(context: Any, name: str, service: str) -> None:
+        ForwarderSetUp._add(context, name, service, None)
+
+    @staticmethod
+    def _add(context: Any, name: str, service: str, server: ScriptedServer | None) -> None:
+        if not hasattr(context, "servers"):
+            context.servers = {}
+        context.servers[name] = (service, server)
+
+    @staticmethod
+    @given("the budget of repeats is spent")
+    def spent(context: Any) -> None:
+        context.slack = 0.0
+
+    @staticmethod
+    @given('"{name}" owns all keys')
+    def owns(context: Any, name: str) -> None:
+        context.owner = (name, None)
+
+    @staticmethod
+    @given('all keys move to "{name}" for {seconds:g} s')
+    def moving(context: Any, name: str, seconds: float) -> None:
+        context.owner = (name, seconds)
+
+    @staticmethod
+    @given('all keys move to "{name}" since long')
+    def moving_long(context: Any, name: str) -> None:
+        context.owner = (name, 99.0)
+
+    @staticmethod
+    @given("no configuration")
+    def no_configuration(context: Any) -> None:
+        context.servers = {}
+        context.unconfigured = True
+
+
+class ForwarderRun:
+    """Forwards requests. Guards against sends that the kind of a request does not allow."""
+
+    @staticmethod
+    @when("a lookup is forwarded")
+    def lookup(context: Any) -> None:
+        ForwarderRun._play(context, ["/lookup/1"])
+
+    @staticmethod
+    @when("two lookups are forwarded one after the other")
+    def two(context: Any) -> None:
+        keyed = any(service == "keyed" for service, _ in context.servers.values())
+        path = "/keyed/1" if keyed else "/lookup/1"
+        ForwarderRun._play(context, [path, path], key=77 if keyed else None)
+
+    @staticmethod
+    @when("a booking is forwarded")
+    def booking(context: Any) -> None:
+        ForwarderRun._play(context, ["/booking/1"])
+
+    @staticmethod
+    @when("a lookup with key {key:d} is forwarded")
+    def keyed(context: Any, key: int) -> None:
+        ForwarderRun._play(context, ["/keyed/1"], key=key)
+
+    @staticmethod
+    @when("a request for an unknown path is forwarded")
+    def unknown(context: Any) -> None:
+        ForwarderRun._play(context, ["/nothing/1"])
+
+    @staticmethod
+    def _play(context: Any, paths: list[str], *, key: int | None = None) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                view = FleetView(clock=TrioClock())
+                if not hasattr(context, "unconfigured"):
+                    view.apply_configuration(CONFIGURATION)
+                entries = {}
+                for name, (service, server) in context.servers.items():
+                    if server is not None:
+                        await nursery.start(server.run)
+                    entries[name] = UpstreamEntry(
+                        life=UpstreamLife(upstream_id=name, started_ms=1),
+                        service=service,
+                        address=server.address if server else UNREACHABLE,
+                        data_centre="east",
+                        slots=2,
+                        draining=False,
+                        cold_s=0.0,
+                    )
+                view.apply_registry(RegistryChange(revision=1, complete=True, entries=entries))
+                await ForwarderRun._set_owner(context, view, entries, nursery)
+                terms = BudgetTerms(ratio=0.0, window_s=10.0, slack=getattr(context, "slack", 64))
+                forwarder = Forwarder(
+                    view=view,
+                    dialect=PlatformDialect(),
+                    budget=RepeatBudget(terms=terms, hosts=1),
+                    data_centre="east",
+                )
+                # The choice among equal upstreams is random; prefer them in order here.
+                for index, name in enumerate(sorted(entries)):
+                    forwarder._states.of(name).seconds = 0.01 * 10**index
+                for number, path in enumerate(paths, start=1):
+                    started = trio.current_time()
+                    context.reply = await forwarder.handle(_request(path, number, key))
+                    context.waited = trio.current_time() - started
+                    await trio.sleep(0.02)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    async def _set_owner(
+        context: Any, view: FleetView, entries: dict[str, Any], nursery: trio.Nursery
+    ) -> None:
+        if not hasattr(context, "owner"):
+            return
+        name, moving_s = context.owner
+        owner = Owner(life=entries[name].life, address=entries[name].address)
+
+        def keys(version: int, moving: bool) -> KeyMap:
+            span = Span(keys=KeyRange(0, 65_535), owner=owner, fence=1, moving=moving)
+            return KeyMap(spans=(span,), fence=1, version=version)
+
+        view.apply_owners("keyed", keys(1, moving_s is not None))
+        if moving_s is None:
+            return
+        if moving_s > 1:
+            await trio.sleep(0.5)
+            return
+
+        async def settle() -> None:
+            await trio.sleep(moving_s)
+            view.apply_owners("keyed", keys(2, False))
+
+        nursery.start_soon(settle)
+
+
+class ForwarderOutcome:
+    """States what the caller got and what the upstreams saw."""
+
+    @staticmethod
+    @then('the caller gets {status:d} "{body}"')
+    @then('the caller gets {status:d} ""')
+    def reply(context: Any, status: int, body: str = "") -> None:
+        got = (context.reply.status, context.reply.body.decode())
+        assert got == (status, body), got
+
+    @staticmethod
+    @then("upstreams got {count:d} requests")
+    def arrivals(context: Any, count: int) -> None:
+        servers = [server for _, server in context.servers.values() if server]
+        found = sum(len(server.requests) for server in servers)
+        assert found == count, found
+
+    @staticmethod
+    @then("the caller is told when to come back")
+    def retry_after(context: Any) -> None:
+        values = [float(value) for name, value in context.reply.headers if name == b"Retry-After"]
+        assert len(values) == 1, context.reply.headers
+        assert 0 < values[0] < 3, values
+
+    @staticmethod
+    @then("the caller waited between {low:g} and {high:g} s")
+    def waited(context: Any, low: float, high: float) -> None:
+        assert low <= context.waited <= high, context.waited
+
+    @staticmethod
+    @then('upstream "{name}" saw {count:d} connections')
+    def connections(context: Any, name: str, count: int) -> None:
+        found = context.servers[name][1].connections
+        assert found == count, found
+
+    @staticmethod
+    def _headers(context: Any) -> dict[str, str]:
+        request, _ = context.servers["u1"][1].requests[0]
+        return {name.decode(): value.decode() for name, value in request.headers}
+
+    @staticmethod
+    @then('the upstream was told "{header}"')
+    def told(context: Any, header: str) -> None:
+        name, _, value = header.partition(": ")
+        assert ForwarderOutcome._headers(context).get(name) == value
+
+    @staticmethod
+    @then("the upstream was told of {low:d} to {high:d} ms")
+    def deadline(context: Any, low: int, high: int) -> None:
+        found = int(ForwarderOutcome._headers(context)["request-deadline"])
+        assert low <= found <= high, found
+
+    @staticmethod
+    @then('the upstream got no "{name}" header')
+    def absent(context: Any, name: str) -> None:
+        with suppress(KeyError):
+            raise AssertionError(ForwarderOutcome._headers(context)[name])
--- /dev/null
+++ b/features/support/scripted_upstream.py
@@ -0,0 +1,112 @@
+"""A server on loopback that answers each request with the next raw answer of a script."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import h11
+import trio
+
+RESET = "reset"
+SILENT = "silent"
+CLOSE = "close"
+
+
+class ScriptedServer:
+    """Records the requests that arrive; ``{id}`` in an answer is the request's id.
+
+    The words ``reset``, ``silent`` and ``close`` stand for a reset, no answer, and the end of the
+    connection. Answers that begin with ``+`` keep the connection open.
+    """
+
+    def __init__(self, *, answers: list[str]) -> None:
+        self._answers = list(answers)
+        self.requests: list[tuple[h11.Request, bytes]] = []
+        self.connections = 0
+        self.broken = 0
+        self.address = ""
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        try:
+            async with stream:
+                while await self._one(stream):
+                    pass
+        except trio.BrokenResourceError:
+            self.broken += 1
+
+    async def _one(self, stream: trio.SocketStream) -> bool:
+        parser = h11.Connection(h11.SERVER)
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await stream.receive_some(65_536))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                break
+            else:
+                return False
+        self.requests.append((head, body))
+        answer = self._answers.pop(0) if len(self._answers) > 1 else self._answers[0]
+        if answer == SILENT:
+            await trio.sleep_forever()
+        if answer == CLOSE:
+            return False
+        if answer == RESET:
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            return False
+        fields = {name.decode(): value.decode() for name, value in head.headers}
+        text = answer.lstrip("+").replace("{id}", fields.get("request-id", ""))
+        await stream.send_all(text.replace("\\r\\n", "\r\n").encode())
+        return answer.startswith("+")
+
+
+def ok(body: str = "done", *, extra: str = "", request_id: str = "{id}") -> str:
+    """Return a signed answer that keeps the connection open."""
+    return (
+        f"+HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: s.1\r\n"
+        f"{extra}Content-Length: {len(body)}\r\n\r\n{body}"
+    )
+
+
+def not_run(status: int, *, upstream_id: str = "u1") -> str:
+    """Return an answer that states that the request did not run."""
+    return (
+        f"+HTTP/1.1 {status} No\r\nRequest-Id: {{id}}\r\nNot-Executed: 1\r\n"
+        f"Instance-Id: {upstream_id}\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+ANSWERS = {
+    "ok": ok(),
+    "full": not_run(503),
+    "moved": not_run(421),
+    "replaced": not_run(421, upstream_id="u9"),
+    "fails": "+HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nResponse-Signature: s.2\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "unsigned": "+HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\ndone",
+    "truncated": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.3\r\n"
+    "Content-Length: 9\r\n\r\ndone",
+    "unframed": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.4\r\n\r\ndone",
+    "garbage": "no answer at all\r\n\r\n",
+    "late extra": ok("other", request_id="r-0") + ok().lstrip("+"),
+    "extra behind": ok() + ok("other").lstrip("+"),
+    "two lengths": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.5\r\n"
+    "Content-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
+    "reset": RESET,
+    "silent": SILENT,
+    "close": CLOSE,
+}
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -217,6 +217,9 @@
         if head is None:
             return None
         received_at = trio.current_time()
+        if _head_bytes(head) > self._limits.max_header_bytes:
+            # The parser only bounds heads that do not arrive in one piece.
+            raise h11.RemoteProtocolError("the head is too large", error_status_hint=431)
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         if "content-length" in fields and "transfer-encoding" in fields:
             raise h11.RemoteProtocolError("both Content-Length and Transfer-Encoding")
@@ -281,3 +284,8 @@
             await self._stream.send_all((head or b"") + (body or b"") + (end or b""))
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the caller does not read")
+
+
+def _head_bytes(head: h11.Request) -> int:
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + fields
--- a/src/acaciasaddle/keyspace/__init__.py
+++ b/src/acaciasaddle/keyspace/__init__.py
@@ -4,6 +4,7 @@
 
 from acaciasaddle.keyspace._balance import Candidate
 from acaciasaddle.keyspace._balance import Move
+from acaciasaddle.keyspace._balance import join_spans
 from acaciasaddle.keyspace._balance import plan_moves
 from acaciasaddle.keyspace._balance import split
 from acaciasaddle.keyspace._coordinator import ROLE_LEASE_S
@@ -38,6 +39,7 @@
     "Owner",
     "ReplacedError",
     "Span",
+    "join_spans",
     "plan_moves",
     "split",
 ]
