--- /dev/null
+++ b/features/steps/forward_admission_steps.py
@@ -0,0 +1,150 @@
+"""Steps of forward/admission.feature."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.forward import retry_after_s
+
+OBJECTIVE_S = 0.6
+DEADLINE_S = 1.5
+SEED = 7
+
+
+@dataclass
+class FloodResult:
+    """Counts of one simulated flood."""
+
+    arrived: int = 0
+    in_time: int = 0
+    refused: int = 0
+    busy_s: float = 0.0
+
+
+def flood(
+    *, slots: int, slot_s: float, queue: int, rate: float, seconds: float, lag_s: float, admit: bool
+) -> FloodResult:
+    """Play arrivals at one owner whose number of requests is known ``lag_s`` late."""
+    rng = random.Random(SEED)
+    result = FloodResult()
+    free_at = [0.0] * slots
+    departures: list[float] = []
+    seen: list[tuple[float, int]] = [(0.0, 0)]
+    now = 0.0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        result.arrived += 1
+        departures = [end for end in departures if end > now]
+        known = next((count for at, count in reversed(seen) if at <= now - lag_s), 0)
+        seen.append((now, len(departures)))
+        seconds_until = retry_after_s(
+            slot_s=slot_s,
+            busy=known,
+            slots=slots,
+            elapsed_s=0.0,
+            objective_s=OBJECTIVE_S,
+            left_s=DEADLINE_S,
+        )
+        if len(departures) >= slots + queue or (admit and seconds_until is not None):
+            result.refused += 1
+            continue
+        start = max(now, heapq.heappop(free_at))
+        work = slot_s * rng.uniform(0.5, 1.5)
+        if start > now + DEADLINE_S:
+            heapq.heappush(free_at, start)
+            continue
+        heapq.heappush(free_at, start + work)
+        departures.append(start + work)
+        result.busy_s += work
+        result.in_time += start + work - now <= OBJECTIVE_S
+    return result
+
+
+class AdmissionSteps:
+    """Guards against queues at an owner that make all of its requests late."""
+
+    @staticmethod
+    @given("an owner with {slots:d} slots, {ms:d} ms in a slot and {busy:d} requests")
+    def owner(context: Any, slots: int, ms: int, busy: int) -> None:
+        context.slots, context.slot_s, context.busy = slots, ms / 1000, busy
+
+    @staticmethod
+    @when(
+        "a request of age {age:d} ms with an objective of {aim:d} ms and {left:d} ms left arrives"
+    )
+    def arrive(context: Any, age: int, aim: int, left: int) -> None:
+        context.retry_after = retry_after_s(
+            slot_s=context.slot_s,
+            busy=context.busy,
+            slots=context.slots,
+            elapsed_s=age / 1000,
+            objective_s=aim / 1000,
+            left_s=left / 1000,
+        )
+
+    @staticmethod
+    @then("it is admitted")
+    def admitted(context: Any) -> None:
+        assert context.retry_after is None, context.retry_after
+
+    @staticmethod
+    @then("it is refused")
+    def refused(context: Any) -> None:
+        assert context.retry_after is not None
+
+    @staticmethod
+    @then("it is told to come back after {ms:d} ms")
+    def told(context: Any, ms: int) -> None:
+        assert abs(context.retry_after - ms / 1000) < 0.001, context.retry_after
+
+
+class FloodSteps:
+    """Guards against an admission that refuses without need, or leaves slots empty."""
+
+    @staticmethod
+    @given(
+        "an owner with {slots:d} slots, {ms:d} ms in a slot, a queue of {queue:d} "
+        "and arrivals at {part} its rate"
+    )
+    def owner(context: Any, slots: int, ms: int, queue: int, part: str) -> None:
+        factor = {"twice": 2.0, "half": 0.5}[part]
+        context.flood = {
+            "slots": slots,
+            "slot_s": ms / 1000,
+            "queue": queue,
+            "rate": factor * slots * 1000 / ms,
+        }
+
+    @staticmethod
+    @when("the flood lasts {seconds:g} s with counts that are {lag:g} s old")
+    def play(context: Any, seconds: float, lag: float) -> None:
+        context.seconds = seconds
+        context.with_admission, context.without = (
+            flood(**context.flood, seconds=seconds, lag_s=lag, admit=admit)
+            for admit in (True, False)
+        )
+
+    @staticmethod
+    @then("with admission at least three times as many requests are served in time as without")
+    def gain(context: Any) -> None:
+        found = (context.with_admission.in_time, context.without.in_time)
+        assert found[0] >= 3 * found[1], found
+
+    @staticmethod
+    @then("the owner's slots are busy for at least {part:g} of the time")
+    def used(context: Any, part: float) -> None:
+        possible = context.seconds * context.flood["slots"]
+        assert context.with_admission.busy_s >= part * possible, context.with_admission
+
+    @staticmethod
+    @then("at most {part:g} of the requests are refused")
+    def few(context: Any, part: float) -> None:
+        result = context.with_admission
+        assert result.refused <= part * result.arrived, result
--- a/src/acaciasaddle/forward/__init__.py
+++ b/src/acaciasaddle/forward/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from acaciasaddle.forward._admission import retry_after_s
 from acaciasaddle.forward._budget import BudgetTerms
 from acaciasaddle.forward._budget import RepeatBudget
 from acaciasaddle.forward._forwarder import Forwarder
@@ -18,4 +19,5 @@
     "RepeatBudget",
     "Reply",
     "RequestTerms",
+    "retry_after_s",
 ]
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -12,6 +12,8 @@
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.errors import UpstreamError
+from acaciasaddle.forward._admission import SlotTimes
+from acaciasaddle.forward._admission import retry_after_s
 from acaciasaddle.forward._headers import passed_on
 from acaciasaddle.forward._pool import ConnectionPool
 from acaciasaddle.forward._types import CallerRequest
@@ -27,6 +29,8 @@
 from acaciasaddle.routing import TrafficSplitter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.fleet import UpstreamEntry
     from acaciasaddle.forward._budget import RepeatBudget
@@ -98,6 +102,9 @@
         self._pool = ConnectionPool()
         self._random = random.Random()
         self._samples: list[LoadSample] = []
+        self._slot_times = SlotTimes()
+        self._reported_busy: dict[str, int] = {}
+        self.total_busy: Callable[[], dict[str, int]] = dict
 
     def take_samples(self) -> list[LoadSample]:
         """Return the samples taken since the last call."""
@@ -111,7 +118,8 @@
 
     def busy(self) -> dict[str, int]:
         """Return the number of requests in progress at each upstream that has any."""
-        return self._states.busy()
+        self._reported_busy = self._states.busy()
+        return self._reported_busy
 
     async def handle(self, req: CallerRequest) -> Reply:
         """Return the reply to a request; never raises but for cancellation."""
@@ -204,6 +212,7 @@
                 silent_until = self._states.of(entry.upstream_id).silent_until(now)
                 if silent_until is not None:
                     raise _refused("the owner is silent", silent_until - now, "choose")
+                self._admit(work, entry)
                 return entry
             if span is None or (
                 span.moving and self._view.moving_for_s(service, span.fence) > OWNER_WAIT_S
@@ -214,6 +223,34 @@
             if scope.cancelled_caught:
                 raise _refused("the key is still moving", NO_OWNER_RETRY_S, "choose")
 
+    def _admit(self, work: _Work, owner: UpstreamEntry) -> None:
+        """Refuse a request that its owner would serve too late."""
+        now = trio.current_time()
+        busy = self._busy_at(owner.upstream_id)
+        seconds = retry_after_s(
+            slot_s=self._slot_times.of(owner.upstream_id),
+            busy=busy,
+            slots=owner.slots,
+            elapsed_s=now - work.req.received_at,
+            objective_s=work.route.objective_s,
+            left_s=work.ends_at - now,
+        )
+        if seconds is not None:
+            log.info(
+                "owner too busy",
+                request=work.terms.request_id,
+                upstream=owner.upstream_id,
+                busy=busy,
+                slot_ms=round(self._slot_times.of(owner.upstream_id) * 1000),
+            )
+            raise _refused("the owner is too busy", seconds, "choose")
+
+    def _busy_at(self, upstream_id: str) -> int:
+        """Return the requests of all hosts at an upstream, as far as known."""
+        own = self._states.of(upstream_id).in_flight
+        reported = self._reported_busy.get(upstream_id, 0)
+        return max(own, self.total_busy().get(upstream_id, 0) + own - reported)
+
     def _owner_of(self, span: Span | None) -> UpstreamEntry | None:
         """Return the upstream that holds a span and takes work."""
         if span is None or span.moving:
@@ -234,6 +271,7 @@
         earlier = work.outcome
         work.outcome = Outcome.UNKNOWN
         started = trio.current_time()
+        busy = self._busy_at(upstream.upstream_id)
         state.in_flight += 1
         try:
             resp = await conn.exchange(
@@ -266,6 +304,9 @@
         self._metrics.timing("forward.upstream_time", seconds * 1000)
         self._metrics.timing("forward.deadline_left", (work.ends_at - started) * 1000)
         state.succeeded(seconds)
+        self._slot_times.note(
+            upstream.upstream_id, seconds=seconds, busy=busy + 1, slots=upstream.slots
+        )
         self._sample(work, upstream, seconds)
         return resp
 
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -75,7 +75,7 @@
         self._state_at: float | None = None
         self._ages_fit = False
         self.hosts = 0
-        self.total_busy: dict[str, int] = {}
+        self._total_busy: dict[str, int] = {}
 
     def covers(self) -> bool:
         """Whether the coordinator keeps this host informed."""
@@ -91,6 +91,10 @@
             and self._coordinator.role_age_s < ROLE_LEASE_S
         )
 
+    def known_busy(self) -> dict[str, int]:
+        """Return the requests of all hosts at each upstream, or nothing if that is not known."""
+        return self._total_busy if self._coordinator.leading or self.linked() else {}
+
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         host, _, port = self._address.rpartition(":")
         listeners = await trio.open_tcp_listeners(int(port), host=host)
@@ -118,7 +122,7 @@
         for busy in self._busy_of.values():
             for name, count in busy.items():
                 total[name] = total.get(name, 0) + count
-        self.total_busy = total
+        self._total_busy = total
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         """Serve another host for as long as this one is the coordinator."""
@@ -175,7 +179,7 @@
                         for name, value in owners.items()
                         if versions.get(name) != value.version
                     },
-                    busy=self.total_busy,
+                    busy=self._total_busy,
                 )
                 version = cfg.version if cfg is not None else 0
                 serial = self._view.registry_serial
@@ -236,7 +240,7 @@
         self._state_at = self._clock.now()
         self._ages_fit = max(state.configuration_age_s, state.registry_age_s) < MAX_AGE_S
         self.hosts = state.hosts
-        self.total_busy = state.busy
+        self._total_busy = state.busy
         self._coordinator.note_role(version=state.role_version, age_s=state.role_age_s)
         if state.configuration is not None:
             self._view.apply_configuration(state.configuration)
