--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -156,6 +156,9 @@
 
     async def _serve(self, work: _Work) -> Reply:
         self._budget.note_request(work.service.name, now=trio.current_time())
+        if work.service.keyed and work.terms.key is not None:
+            # The load of a key is what callers ask for, served or not.
+            self._sample(work, key=work.terms.key)
         with trio.move_on_at(work.ends_at + RESPONSE_GRACE_S):
             return await self._attempt_until_served(work)
         if work.outcome is Outcome.NOT_RUN:
@@ -307,7 +310,7 @@
         self._slot_times.note(
             upstream.upstream_id, seconds=seconds, busy=busy + 1, slots=upstream.slots
         )
-        self._sample(work, upstream, seconds)
+        self._sample(work, upstream_id=upstream.upstream_id, seconds=seconds)
         return resp
 
     def _headers(self, work: _Work, upstream: UpstreamEntry, now: float) -> RawHeaders:
@@ -319,15 +322,11 @@
             headers.append((b"Content-Length", str(len(work.req.body)).encode()))
         return headers
 
-    def _sample(self, work: _Work, upstream: UpstreamEntry, seconds: float) -> None:
-        key = work.terms.key if work.service.keyed and work.terms.key is not None else -1
+    def _sample(
+        self, work: _Work, *, key: int = -1, upstream_id: str = "", seconds: float = -1.0
+    ) -> None:
         self._samples.append(
-            LoadSample(
-                service=work.service.name,
-                key=key,
-                upstream_id=upstream.upstream_id,
-                seconds=seconds,
-            )
+            LoadSample(service=work.service.name, key=key, upstream_id=upstream_id, seconds=seconds)
         )
 
     # What follows a send that brought no result.
--- a/src/acaciasaddle/keyspace/_load.py
+++ b/src/acaciasaddle/keyspace/_load.py
@@ -22,9 +22,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadSample:
-    """One request: its service and key, and the upstream's response time in seconds.
+    """The arrival of a request for a key, or the response time of an upstream in seconds.
 
-    ``key`` is -1 for a request without a key, ``seconds`` negative if there was no response.
+    ``key`` is -1 in a sample of a response time, ``seconds`` negative in one of an arrival.
     """
 
     service: str
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -26,7 +26,7 @@
 class Report(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """What a host saw since its last report.
 
-    ``samples`` are service, key (-1: none), upstream id and response time in seconds; ``busy`` is
+    ``samples`` are the fields of ``LoadSample``: service, key, upstream id and seconds; ``busy`` is
     the number of its requests in progress at each upstream.
     """
 
