--- a/features/steps/platform_decode_steps.py
+++ b/features/steps/platform_decode_steps.py
@@ -1,4 +1,4 @@
-"""Steps of platform/decode.feature."""
+"""Steps of users_platform/decode.feature."""
 
 from __future__ import annotations
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -1,4 +1,4 @@
-"""Steps of platform/store.feature: the client against a scripted store on loopback."""
+"""Steps of users_platform/store.feature: the client against a scripted store on loopback."""
 
 from __future__ import annotations
 
--- a/features/steps/table_http_steps.py
+++ b/features/steps/table_http_steps.py
@@ -1,4 +1,4 @@
-"""Steps of platform/http.feature: the client against a scripted platform without sockets."""
+"""Steps of table/http.feature: the client against a scripted platform without sockets."""
 
 from __future__ import annotations
 
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -1,4 +1,4 @@
-"""Steps of platform/writes.feature: write_once against a table that loses answers."""
+"""Steps of table/writes.feature: write_once against a table that loses answers."""
 
 from __future__ import annotations
 
