Give the load tool's scenarios timeouts that a busy machine keeps

The scenarios are about hosts that answer, so their timeout is 15 s, and 3 s where a host never answers; all checks stay.

--- a/features/steps/emulator_load_steps.py
+++ b/features/steps/emulator_load_steps.py
@@ -40,12 +40,18 @@
     {{name: "lookup", path: "/b/{{key}}", rate: {lookups}, rank: "urgent", target_ms: 5000}},
     // Repeated once.
     {{name: "deposit", method: "POST", path: "/b/{{key}}", rate: {deposits}, rank: "urgent",
-      target_ms: 5000, once: true, timeout_s: 0.5, body_bytes: 70000, reply_bytes: 100000}},
+      target_ms: 5000, once: true, timeout_s: {timeout}, body_bytes: 70000, reply_bytes: 100000}},
   ],
 }}
 """
 
 
+ANSWER_TIMEOUT_S = 15.0
+"""The scenarios are about hosts that answer, however busy the machine is."""
+SILENCE_TIMEOUT_S = 3.0
+"""Timeout for a host that never answers; the other host sheds within it."""
+
+
 class ClosingApp(AsgiApp):
     """Closes connections without an answer."""
 
@@ -105,7 +111,12 @@
     @staticmethod
     @given("a load of {lookups:d} lookups and {deposits:d} deposits per second for {duration:d} s")
     def workload(context: Any, lookups: int, deposits: int, duration: int) -> None:
-        text = WORKLOAD.format(lookups=lookups, deposits=deposits, duration=duration)
+        context.load = {"lookups": lookups, "deposits": deposits, "duration": duration}
+        LoadSteps._plan(context, timeout_s=ANSWER_TIMEOUT_S)
+
+    @staticmethod
+    def _plan(context: Any, *, timeout_s: float) -> None:
+        text = WORKLOAD.format(**context.load, timeout=timeout_s)
         context.workload = parse_workload(text, source="test")
 
     @staticmethod
@@ -137,6 +148,8 @@
     @staticmethod
     @when("the load is sent to a host that sheds and a host that {fault}")
     def shedding_and_faulty(context: Any, fault: str) -> None:
+        if fault == "never answers":
+            LoadSteps._plan(context, timeout_s=SILENCE_TIMEOUT_S)
         LoadSteps.send(context, [upstream(name="u1", shed=True), FAULTY[fault]()])
 
     @staticmethod
