Let a request outlive its dispatcher; reject control characters in texts

Ruled out: a closed nursery because of a second stop; the scenario ends the dispatcher once. Before: the new scenario ended with 'Nursery is closed to new arrivals', four new rows of config/check.feature failed.

--- a/features/config/check.feature
+++ b/features/config/check.feature
@@ -29,6 +29,7 @@
       | inventory.services[0].upstreams[0].state | "leave"           | inventory: $.services[0].upstreams[0].state: "leave" is not valid; expected 'active' or 'leaving'; did you mean "leaving"?                                               |
       | inventory.services[1].upstreams          | []                | inventory: $.services[1].upstreams: no active upstream; expected at least one                                                                                            |
       | inventory.services[1].name               | "bookings"        | inventory: $.services[1].name: "bookings" is not valid; expected a name that no other service has                                                                        |
+      | inventory.data_centres[0].region         | "no\u0000rth"     | inventory: $.data_centres[0].region: "no\u0000rth" is not valid; expected a text without control characters                                                              |
       | inventory.services[0].shards             | 65537             | inventory: $.services[0].shards: 65537 is not valid; expected a value less than or equal to 65536                                                                        |
 
     Examples: rules
@@ -50,6 +51,9 @@
       | rules.access[0].data_centres    | []             | rules: $.access[0].data_centres: [] is not valid; expected at least 1 item                                                                         |
       | rules.caller_header             | "Acaciasaddle-Caller" | rules: $.caller_header: "Acaciasaddle-Caller" is not valid; expected a header name that does not begin with Acaciasaddle-                   |
       | rules.retry_budget              | Infinity       | rules: $.retry_budget: Infinity is not valid; expected a finite number                                                                             |
+      | rules.access[0].caller          | "emb\u0000"   | rules: $.access[0].caller: "emb\u0000" is not valid; expected a text without control characters                                                  |
+      | rules.groups[0].key_prefix      | "v\u007fip"   | rules: $.groups[0].key_prefix: "v\u007fip" is not valid; expected a text without control characters                                              |
+      | rules.kinds[0].path             | "/b\u0000/{key}" | rules: $.kinds[0].path: "/b\u0000/{key}" is not valid; expected a path template of plain segments, {key} and perhaps * as its last segment   |
 
   Scenario: all findings of both files are reported at once
     Given a configuration
--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -76,6 +76,11 @@
       | deposit | after it was sent    | 1     | 0       |
       | deposit | during the answer    | 1     | 0       |
 
+  Scenario: a dispatch request that outlives its dispatcher ends without a failure
+    Given a dispatch upstream that answers after 100 ms in two parts 50 ms apart
+    When a dispatch request of kind "lookup" is served and its dispatcher ends after it was sent
+    Then the dispatch result is "caller gone" after 1 sends
+
   Scenario: dispatch cuts an answer that its caller does not take for 30 s
     When a dispatch request is served whose caller takes no answer
     Then the dispatch result is "200 cut, 504 unknown" after 1 sends
--- a/features/steps/dispatch_failures_steps.py
+++ b/features/steps/dispatch_failures_steps.py
@@ -203,6 +203,21 @@
 
         plan.add(act)
 
+    @staticmethod
+    @when('a dispatch request of kind "{kind}" is served and its dispatcher ends after it was sent')
+    def outlive(context: Any, kind: str) -> None:
+        plan = DispatchPlan.of(context)
+
+        async def act(world: World) -> None:
+            reply = world.start(world.request(kind))
+            await trio.sleep(0.05)
+            await world.end_dispatcher()
+            reply.scope.cancel()
+            await reply.done.wait()
+            plan.replies.append(reply)
+
+        plan.add(act)
+
     @staticmethod
     @when("a dispatch request is served whose caller takes no answer")
     def takes_none(context: Any) -> None:
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -365,9 +365,24 @@
         )
         self.idle = False
         self.requests: list[WorkRequest] = []
+        self._dispatcher_scope = trio.CancelScope()
+        self._dispatcher_ended = trio.Event()
         self._ids = itertools.count(1)
         self._random = itertools.count(1)
 
+    async def run_dispatcher(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run the dispatcher until it is ended."""
+        with self._dispatcher_scope:
+            await self.dispatcher.run(task_status=task_status)
+        self._dispatcher_ended.set()
+
+    async def end_dispatcher(self) -> None:
+        """End the dispatcher while requests may be in progress."""
+        self._dispatcher_scope.cancel()
+        await self._dispatcher_ended.wait()
+
     def key(self, *, age: float = 0.0) -> str:
         """Return a new idempotency key minted ``age`` seconds ago."""
         stamp = f"{int((self.clock.wall() - age) * 1000):012x}"
@@ -437,7 +452,7 @@
     async def outer() -> None:
         async with trio.open_nursery() as nursery:
             world = World(nursery, rules=rules, once_memory=once_memory)
-            await nursery.start(world.dispatcher.run)
+            await nursery.start(world.run_dispatcher)
             await main(world)
             nursery.cancel_scope.cancel()
 
--- a/src/acaciasaddle/config/_fields.py
+++ b/src/acaciasaddle/config/_fields.py
@@ -16,6 +16,7 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _METHOD = re.compile(r"[A-Z]{1,20}")
 _HEADER = re.compile(r"[A-Za-z0-9][A-Za-z0-9-]{0,62}")
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 _PORT = re.compile(r"[0-9]{1,5}")
 _RESERVED_HEADER_PREFIX = "acaciasaddle-"
 KEY_SEGMENT = "{key}"
@@ -78,6 +79,13 @@
     return value
 
 
+def _text(value: str) -> str:
+    # A control character cannot be seen in a listing, and a NUL byte ends a text in other programs.
+    if _CONTROL.search(value):
+        raise _expected("a text without control characters")
+    return value
+
+
 def _path_template(value: str) -> str:
     segments = value.split("/")
     if segments[0] != "":
@@ -87,7 +95,7 @@
     for index, segment in enumerate(segments):
         if segment == KEY_SEGMENT or (segment == REST_SEGMENT and index == len(segments) - 1):
             continue
-        if re.search(r"[{}*?#%\s]", segment) or segment in (".", ".."):
+        if re.search(r"[{}*?#%\s\x00-\x1f\x7f]", segment) or segment in (".", ".."):
             raise _expected(
                 "a path template of plain segments, {key} and perhaps * as its last segment"
             )
@@ -103,7 +111,8 @@
 Method = Annotated[str, AfterValidator(_method)]
 HeaderName = Annotated[str, AfterValidator(_header_name)]
 PathTemplate = Annotated[str, AfterValidator(_path_template)]
-Text = Annotated[str, Field(min_length=1, max_length=255)]
+Text = Annotated[str, Field(min_length=1, max_length=255), AfterValidator(_text)]
+OptionalText = Annotated[str, AfterValidator(_text)]
 Port = Annotated[int, Field(ge=1, le=65_535)]
 Count = Annotated[int, Field(ge=1)]
 Shards = Annotated[int, Field(ge=1, le=MAX_SHARDS)]
--- a/src/acaciasaddle/config/_types.py
+++ b/src/acaciasaddle/config/_types.py
@@ -18,6 +18,7 @@
 from acaciasaddle.config._fields import Margin
 from acaciasaddle.config._fields import Method
 from acaciasaddle.config._fields import Name
+from acaciasaddle.config._fields import OptionalText
 from acaciasaddle.config._fields import PathTemplate
 from acaciasaddle.config._fields import PeerAddress
 from acaciasaddle.config._fields import Port
@@ -80,7 +81,7 @@
     __pydantic_config__: ClassVar[ConfigDict] = _STRICT
 
     name: Name
-    region: str = ""
+    region: OptionalText = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/acaciasaddle/dispatch/_dispatcher.py
+++ b/src/acaciasaddle/dispatch/_dispatcher.py
@@ -103,6 +103,7 @@
                     for target in list(self._targets.values()):
                         await target.connections.close_idle()
             finally:
+                self._running.ended = True
                 for target in self._targets.values():
                     await target.connections.close_all()
 
--- a/src/acaciasaddle/dispatch/_runner.py
+++ b/src/acaciasaddle/dispatch/_runner.py
@@ -66,7 +66,10 @@
 
 
 class JobRunner:
-    """Runs jobs. Cancellations at upstreams go on in ``nursery``."""
+    """Runs jobs. Cancellations at upstreams go on in ``nursery``, until it has ``ended``.
+
+    A job belongs to its caller's task and may outlive the dispatcher.
+    """
 
     def __init__(
         self,
@@ -86,6 +89,7 @@
         self._progress = progress
         self._held = held
         self.nursery = nursery
+        self.ended = False
         self._log = get_logger("dispatch")
 
     async def run(self, job: Job) -> None:
@@ -133,7 +137,7 @@
                         reason=str(exc),
                     )
                     # The retry keeps the slot: the first attempt is most likely dead.
-                    if job.unsettled is not None:
+                    if job.unsettled is not None and not self.ended:
                         self.nursery.start_soon(
                             self._cancel_at_upstream, target, None, job.unsettled
                         )
@@ -141,7 +145,7 @@
                     job.may_have_run |= job.sent
                     job.sent = False
         finally:
-            if job.unsettled is not None and not job.lost:
+            if job.unsettled is not None and not job.lost and not self.ended:
                 # The upstream may go on: its slot is free when it has confirmed the end.
                 self.nursery.start_soon(
                     self._cancel_at_upstream, target, job.waiting, job.unsettled
