Share the budget of repeats among the hosts that are known

Cause: the slack of the budget was dealt among 16 assumed hosts; 67 hosts could together send over four times the slack. The coordinator now tells the largest number of linked hosts, two seconds after it took the role; without it a host leaves the slack alone. Before: 67 hosts and 200 requests each could send 2,680 x 0.8 + 67 x 8.7 repeats. After: scenarios of forward/budget.feature hold for 12, 67 and 300 hosts.

--- /dev/null
+++ b/features/steps/forward_budget_steps.py
@@ -0,0 +1,63 @@
+"""Steps of forward/budget.feature."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.forward import BudgetTerms
+from acaciasaddle.forward import RepeatBudget
+
+SERVICE = "s"
+
+
+class RepeatBudgetSteps:
+    """Guards against more repeats than all hosts together may send."""
+
+    @staticmethod
+    @given(
+        "{count:d} hosts that share a budget of {percent:d}% of the requests and {slack:d} more "
+        "in {window:g} s"
+    )
+    def hosts(context: Any, count: int, percent: int, slack: int, window: float) -> None:
+        context.terms = BudgetTerms(ratio=percent / 100, window_s=window, slack=float(slack))
+        context.known_hosts = count
+        context.budgets = [
+            RepeatBudget(terms=context.terms, hosts=lambda: context.known_hosts)
+            for _ in range(count)
+        ]
+
+    @staticmethod
+    @given("none of the hosts knows how many there are")
+    def unknown(context: Any) -> None:
+        context.known_hosts = 0
+
+    @staticmethod
+    @when("each host gets {count:d} requests and repeats as often as it may")
+    def repeat(context: Any, count: int) -> None:
+        context.requests = count * len(context.budgets)
+        context.repeats = 0
+        for budget in context.budgets:
+            for _ in range(count):
+                budget.note_request(SERVICE, now=0.0)
+            while budget.take(SERVICE, now=1.0):
+                context.repeats += 1
+
+    @staticmethod
+    @then("all hosts together stay within the budget")
+    def within(context: Any) -> None:
+        allowed = context.terms.ratio * context.requests + context.terms.slack
+        assert context.repeats <= allowed, (context.repeats, allowed)
+
+    @staticmethod
+    @then("at least {count:d} repeats were sent")
+    def at_least(context: Any, count: int) -> None:
+        assert context.repeats >= count, context.repeats
+
+    @staticmethod
+    @then("at most {count:d} repeats were sent")
+    def at_most(context: Any, count: int) -> None:
+        assert context.repeats <= count, context.repeats
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -192,7 +192,7 @@
                 forwarder = Forwarder(
                     view=view,
                     dialect=PlatformDialect(),
-                    budget=RepeatBudget(terms=terms, hosts=1),
+                    budget=RepeatBudget(terms=terms, hosts=lambda: 1),
                     data_centre="east",
                 )
                 # The choice among equal upstreams is random; prefer them in order here.
--- a/src/acaciasaddle/forward/_budget.py
+++ b/src/acaciasaddle/forward/_budget.py
@@ -4,6 +4,10 @@
 
 from collections import deque
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 SAFETY = 0.8
 """Part of the budget that is used: the windows of several hosts never line up."""
@@ -32,10 +36,13 @@
 class RepeatBudget:
     """This host's part of the budget, for each service."""
 
-    def __init__(self, *, terms: BudgetTerms, hosts: int) -> None:
-        """``hosts`` is the number of hosts that share the slack; it may be changed."""
+    def __init__(self, *, terms: BudgetTerms, hosts: Callable[[], int]) -> None:
+        """``hosts`` returns the number of hosts that share the slack, or 0 if it is not known.
+
+        Without that number a host uses none of the slack, since there may be any number of hosts.
+        """
         self._terms = terms
-        self.hosts = hosts
+        self._hosts = hosts
         self._windows: dict[str, _Window] = {}
 
     def note_request(self, service: str, *, now: float) -> None:
@@ -45,7 +52,8 @@
     def left(self, service: str, *, now: float) -> float:
         """Return how many more repeats may be sent now."""
         window = self._window(service, now)
-        slack = self._terms.slack / max(1, self.hosts)
+        hosts = self._hosts()
+        slack = self._terms.slack / hosts if hosts else 0.0
         allowed = SAFETY * (self._terms.ratio * len(window.requests) + slack)
         return allowed - len(window.repeats)
 
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -39,6 +39,8 @@
 """A link without a state for this long is given up; two states may be late."""
 CONNECT_TIMEOUT_S = 0.5
 RECONNECT_S = 0.2
+ALL_LINKED_S = 2.0
+"""Hosts find a new coordinator within a poll of 0.5 s, and link to it within 0.7 s more."""
 MAX_AGE_S = 1.6
 """Beliefs that the coordinator read longer ago than this do not spare a host its own reading."""
 
@@ -74,9 +76,15 @@
         self._busy_of: dict[str, dict[str, int]] = {}
         self._state_at: float | None = None
         self._ages_fit = False
-        self.hosts = 0
+        self._hosts = 0
+        self._leading_since: float | None = None
         self._total_busy: dict[str, int] = {}
 
+    @property
+    def hosts(self) -> int:
+        """The largest number of hosts that were linked at the same time, or 0 if not known."""
+        return self._hosts
+
     def covers(self) -> bool:
         """Whether the coordinator keeps this host informed."""
         return self.linked() and self._ages_fit
@@ -105,7 +113,9 @@
                 if self._coordinator.leading:
                     self._lead()
                     await trio.sleep(INTERVAL_S)
-                elif self._coordinator.coordinator_address in ("", self._address):
+                    continue
+                self._leading_since = None
+                if self._coordinator.coordinator_address in ("", self._address):
                     await trio.sleep(RECONNECT_S)
                 else:
                     await self._follow(self._coordinator.coordinator_address)
@@ -117,7 +127,11 @@
         """Add this host's own report."""
         self._load.add(self._take_samples(), now=self._clock.now())
         self._busy_of[self._host_id] = self._busy()
-        self.hosts = len(self._busy_of)
+        now = self._clock.now()
+        if self._leading_since is None:
+            self._leading_since = now
+        if now - self._leading_since >= ALL_LINKED_S:
+            self._hosts = max(self._hosts, len(self._busy_of))
         total: dict[str, int] = {}
         for busy in self._busy_of.values():
             for name, count in busy.items():
@@ -239,7 +253,7 @@
             log.info("link to the coordinator", hosts=state.hosts)
         self._state_at = self._clock.now()
         self._ages_fit = max(state.configuration_age_s, state.registry_age_s) < MAX_AGE_S
-        self.hosts = state.hosts
+        self._hosts = max(self._hosts, state.hosts)
         self._total_busy = state.busy
         self._coordinator.note_role(version=state.role_version, age_s=state.role_age_s)
         if state.configuration is not None:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -40,8 +40,6 @@
     from acaciasaddle.forward import CallerRequest
     from acaciasaddle.node._settings import NodeSettings
 
-ASSUMED_HOSTS = 16
-"""Hosts that share the budget of repeats, until their number is known."""
 YOUNG_OBJECTS = 20_000
 """Objects after which the youngest generation is collected; Python's 700 is a single request."""
 
@@ -73,7 +71,7 @@
                 window_s=bounds.repeat_window_s,
                 slack=bounds.repeat_slack,
             ),
-            hosts=ASSUMED_HOSTS,
+            hosts=lambda: self.links.hosts,
         )
         self.forwarder = Forwarder(
             view=self.view,
