Deal the keys of a flooded upstream out in one round

Cause: of a range of hot keys only one piece a round left its owner, to one other upstream, so a range took the five seconds of a flood to be split; six moves a round served 30 upstreams and 260 alike; hot keys counted by a mean over five seconds; most moves on a level load answered the noise of the samples and left ranges that each cost a renewal. Change: an upstream far above the mean gives its keys to as many others as it takes, up to a quarter of the fleet in a round; keys whose rate has changed count by their last second; differences within the noise of the samples move nothing; neighbouring ranges are joined every two seconds. Ruled out: keeping one piece a round with more rounds; the release of a piece takes longer than a round, so the owner was still moving.

--- /dev/null
+++ b/features/steps/keyspace_flood_steps.py
@@ -0,0 +1,56 @@
+"""Steps of keyspace/flood.feature."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from features.support.key_flood import Flood
+
+from acaciasaddle.keyspace import KEY_COUNT
+
+
+class KeyFloodSteps:
+    """Guards against hot keys that stay with an owner that cannot serve them."""
+
+    @staticmethod
+    @given(
+        "a fleet of {upstreams:d} upstreams with {rate:d} requests/s, each of which serves "
+        "{each:g} a second"
+    )
+    def fleet(context: Any, upstreams: int, rate: int, each: float) -> None:
+        context.flood = Flood(upstreams=upstreams, rate=rate, served_rate=each)
+
+    @staticmethod
+    @when("{hot:d} requests/s of these go to {keys:d} neighbouring keys for {seconds:g} s")
+    def flood(context: Any, hot: int, keys: int, seconds: float) -> None:
+        context.flood.hot_rate = float(hot)
+        context.flood.hot_keys = keys
+        context.flood.play(seconds)
+
+    @staticmethod
+    @then("from {first:g} s after the beginning {percent:d}% of the requests find room")
+    def served(context: Any, first: float, percent: int) -> None:
+        part = context.flood.served_between(first, 5.0)
+        assert part >= percent / 100, (part, context.flood.served)
+
+    @staticmethod
+    @then("the hot keys have at least {count:d} owners")
+    def owners(context: Any, count: int) -> None:
+        found = context.flood.hosts_of_hot_keys()
+        assert found >= count, found
+
+    @staticmethod
+    @then("the owner of the hot key has at most {times:g} times the mean load beside it")
+    def isolated(context: Any, times: float) -> None:
+        flood = context.flood
+        # All other keys are asked for alike.
+        found = flood.keys_beside_hottest() * flood.upstreams / KEY_COUNT
+        assert found <= times, found
+
+    @staticmethod
+    @then("at most {count:d} moves were made")
+    def moves(context: Any, count: int) -> None:
+        assert context.flood.moves <= count, context.flood.moves
--- /dev/null
+++ b/features/support/key_flood.py
@@ -0,0 +1,134 @@
+"""A fleet of upstreams under a load that changes with time, without a network.
+
+Requests arrive at the rates of a flood, the load book learns of them a little later, and each
+round's moves take effect after the time that a release and a grant take.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from acaciasaddle.fleet import UpstreamLife
+from acaciasaddle.keyspace import KEY_COUNT
+from acaciasaddle.keyspace import Candidate
+from acaciasaddle.keyspace import KeyMap
+from acaciasaddle.keyspace import LoadBook
+from acaciasaddle.keyspace import LoadSample
+from acaciasaddle.keyspace import Owner
+from acaciasaddle.keyspace import Span
+from acaciasaddle.keyspace import plan_moves
+
+ROUND_S = 0.25
+REPORT_DELAY_S = 0.4
+"""Hosts report what arrived at most this much later."""
+MOVE_S = 0.5
+"""A release waits for the work in progress on its keys."""
+WARM_UP_S = 8.0
+SERVICE = "s"
+
+
+@dataclass(slots=True, kw_only=True)
+class Flood:
+    """``rate`` requests/s for all keys, of which ``hot_rate`` go to the hot keys from time 0."""
+
+    upstreams: int
+    rate: float
+    served_rate: float
+    hot_rate: float = 0.0
+    hot_first: int = 20_000
+    hot_keys: int = 1
+    seed: int = 1
+    moves: int = 0
+    owners: KeyMap = field(default_factory=lambda: KeyMap(spans=(), fence=0, version=1))
+    served: list[tuple[float, float]] = field(default_factory=list)
+
+    def play(self, until_s: float) -> None:
+        """Play the fleet from a calm state before the flood until a time."""
+        rng = random.Random(self.seed)
+        book = LoadBook()
+        late: list[tuple[float, LoadSample]] = []
+        under_way: list[tuple[float, Span]] = []
+        now = -WARM_UP_S
+        while now < until_s:
+            arrived = self._arrivals(rng, hot=now >= 0)
+            if now >= 0:
+                self._serve(now, arrived)
+            late += [(now, _sample(key)) for key in arrived]
+            known = [sample for at, sample in late if at <= now - REPORT_DELAY_S]
+            late = [item for item in late if item[0] > now - REPORT_DELAY_S]
+            book.add(known, now=now)
+            for at, span in under_way:
+                if at <= now:
+                    self._settle(span)
+            under_way = [item for item in under_way if item[0] > now]
+            under_way += [(now + MOVE_S, span) for span in self._plan(book, now)]
+            now += ROUND_S
+
+    def served_between(self, first_s: float, last_s: float) -> float:
+        """Return the part of the requests that found room at their owner."""
+        parts = [part for at, part in self.served if first_s <= at < last_s]
+        return sum(parts) / len(parts)
+
+    def hosts_of_hot_keys(self) -> int:
+        """Return the number of upstreams that own hot keys."""
+        keys = range(self.hot_first, self.hot_first + self.hot_keys)
+        return len({span.owner for key in keys if (span := self.owners.find(key))})
+
+    def keys_beside_hottest(self) -> int:
+        """Return the number of keys that the owner of the first hot key holds beside hot ones."""
+        span = self.owners.find(self.hot_first)
+        assert span is not None
+        return sum(each.keys.size for each in self.owners.spans if each.owner == span.owner) - 1
+
+    def _arrivals(self, rng: random.Random, *, hot: bool) -> list[int]:
+        hot_rate = self.hot_rate if hot else 0.0
+        count = round((self.rate - hot_rate) * ROUND_S)
+        keys = [rng.randrange(KEY_COUNT) for _ in range(count)]
+        hot_count = round(hot_rate * ROUND_S)
+        return keys + [self.hot_first + rng.randrange(self.hot_keys) for _ in range(hot_count)]
+
+    def _serve(self, now: float, arrived: list[int]) -> None:
+        by_owner: dict[Owner, int] = {}
+        for key in arrived:
+            span = self.owners.find(key)
+            if span is not None and not span.moving:
+                by_owner[span.owner] = by_owner.get(span.owner, 0) + 1
+        room = self.served_rate * ROUND_S
+        # A queue in front of the slots takes what exceeds the room of one round.
+        served = sum(min(count, room * 2) for count in by_owner.values())
+        self.served.append((now, served / len(arrived)))
+
+    def _plan(self, book: LoadBook, now: float) -> list[Span]:
+        moves = plan_moves(
+            owners=self.owners,
+            candidates=[Candidate(owner=_owner(n), capacity=2.0) for n in range(self.upstreams)],
+            load=book.keys(SERVICE, now=now),
+            balance=True,
+        )
+        spans = []
+        for move in moves:
+            fence = self.owners.fence + 1
+            span = Span(
+                keys=move.keys, owner=move.target, fence=fence, moving=True, previous=move.source
+            )
+            self.owners = self.owners.replaced(move.keys, [span], fence=fence)
+            spans.append(span)
+        self.moves += len(moves) if now >= 0 else 0
+        return spans
+
+    def _settle(self, span: Span) -> None:
+        current = self.owners.find(span.keys.first)
+        if current is not None and current.fence == span.fence:
+            settled = replace(current, moving=False, previous=None)
+            self.owners = self.owners.replaced(current.keys, [settled], fence=self.owners.fence)
+
+
+def _owner(number: int) -> Owner:
+    return Owner(life=UpstreamLife(upstream_id=f"u{number}", started_ms=1), address=f"{number}:1")
+
+
+def _sample(key: int) -> LoadSample:
+    return LoadSample(service=SERVICE, key=key, upstream_id="", seconds=-1.0)
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -42,8 +42,8 @@
 
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet import FleetView
-    from acaciasaddle.keyspace._balance import Move
     from acaciasaddle.keyspace._load import LoadBook
+    from acaciasaddle.keyspace._loads import Move
     from acaciasaddle.keyspace._types import KeyOrders
     from acaciasaddle.observe import Metrics
     from acaciasaddle.table import Table
@@ -60,6 +60,9 @@
 ROLE_POLL_S = 0.5
 MIN_PAUSE_S = 0.01
 TICK_S = 0.25
+JOIN_INTERVAL_S = 2.0
+"""Ranges that lie side by side become one at least this often, also while others move. A joined
+range is renewed for the first time up to 0.8 s later, well within the lease of its parts."""
 KEY_LEASE_S = 3.5
 """Outlasts the loss of a coordinator: 1.6 s until the takeover, a poll and the first renewals."""
 KEY_RENEWAL_S = 0.8
@@ -125,6 +128,7 @@
         self._owners: dict[str, KeyMap] = {}
         self._tenures: dict[Owner, Tenure] = {}
         self._completed: list[KeyChange] = []
+        self._joined_at: dict[str, float] = {}
         self._under_way: set[tuple[str, int]] = set()
         self._writing = trio.Lock()
         self._stopping = False
@@ -398,11 +402,12 @@
             balance=True,
         )
         changes = []
-        if not moves:
-            owners = join_spans(owners)
         for move in moves:
             owners, change = _apply(owners, service, move)
             changes.append(change)
+        if not moves or now - self._joined_at.get(service, 0.0) >= JOIN_INTERVAL_S:
+            owners = join_spans(owners)
+            self._joined_at[service] = now
         return owners, changes
 
     async def _carry_out(self, change: KeyChange) -> None:
@@ -461,7 +466,9 @@
                 )
                 return ""
             try:
-                return await self._release(span, owner, tenure, min(RELEASE_TIMEOUT_S, left))
+                async with tenure.releases:
+                    left = max(0.0, until - self._clock.now())
+                    return await self._release(span, owner, tenure, min(RELEASE_TIMEOUT_S, left))
             except ReplacedError as exc:
                 log.info("upstream has ended", upstream=owner.life.upstream_id, reason=str(exc))
                 tenure.ended = tenure.lost = True
--- a/src/acaciasaddle/keyspace/_leases.py
+++ b/src/acaciasaddle/keyspace/_leases.py
@@ -12,6 +12,10 @@
 MARGIN_S = 0.15
 """Covers the rounding of timers on both sides."""
 
+MAX_RELEASES = 24
+"""Releases at one upstream at a time, each on a connection of its own. Upstreams of the smallest
+deployment accept 130 connections from all hosts together."""
+
 
 def lease_end(arrived_by: float, lease_s: float) -> float:
     """Return when a lease has surely ended whose grant arrived at the latest at a given time."""
@@ -24,7 +28,8 @@
 
     ``held_until`` is the time by which all leases granted so far have surely ended.
     ``failing_since`` is the time of the first of the failures in a row, or ``None``. A life that
-    has ``ended`` holds nothing any more. One release at a time is tried at a lost upstream.
+    has ``ended`` holds nothing any more. One release at a time is tried at a lost upstream, and
+    ``releases`` bounds those at any other.
     """
 
     held_until: float
@@ -33,6 +38,7 @@
     ended: bool = False
     renewing: bool = False
     releasing: trio.Lock = field(default_factory=trio.Lock)
+    releases: trio.Semaphore = field(default_factory=lambda: trio.Semaphore(MAX_RELEASES))
 
     def sending(self, *, now: float, timeout_s: float, lease_s: float) -> float:
         """Note that a grant is about to be sent; it arrives within its timeout or never.
--- a/src/acaciasaddle/keyspace/_load.py
+++ b/src/acaciasaddle/keyspace/_load.py
@@ -4,6 +4,7 @@
 
 from bisect import bisect_left
 from bisect import bisect_right
+from collections import Counter
 from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,6 +16,14 @@
 
 LOAD_WINDOW_S = 5.0
 """Hot keys change within seconds; a shorter window holds too few requests to compare upstreams."""
+RECENT_S = 1.0
+"""Span of the latest rate of keys that have just become hot or cold."""
+KEY_GROUP = 64
+"""Neighbouring keys whose rates are compared over time; a single key has too few requests."""
+CHANGE_FACTOR = 3.0
+CHANGE_SAMPLES = 6
+"""A rate has changed if it differs by this factor and, beside it, this many requests a second:
+about 2.5 standard deviations of a group that had 6."""
 SPEED_WINDOW_S = 8.0
 MIN_SPEED_SAMPLES = 5
 """With fewer samples the speed of all upstreams together is assumed."""
@@ -37,33 +46,75 @@
     """Samples of all hosts from the last seconds."""
 
     def __init__(self) -> None:
-        self._samples: deque[tuple[float, LoadSample]] = deque()
+        self._arrivals: dict[str, deque[tuple[float, int]]] = {}
+        self._responses: dict[str, deque[tuple[float, str, float]]] = {}
 
     def add(self, samples: Iterable[LoadSample], *, now: float) -> None:
         """Add samples that have just been taken."""
-        self._samples.extend((now, sample) for sample in samples)
-        while self._samples and self._samples[0][0] < now - SPEED_WINDOW_S:
-            self._samples.popleft()
+        for sample in samples:
+            if sample.key >= 0:
+                self._arrivals.setdefault(sample.service, deque()).append((now, sample.key))
+            else:
+                self._responses.setdefault(sample.service, deque()).append(
+                    (now, sample.upstream_id, sample.seconds)
+                )
+        for arrivals in self._arrivals.values():
+            while arrivals and arrivals[0][0] <= now - LOAD_WINDOW_S:
+                arrivals.popleft()
+        for responses in self._responses.values():
+            while responses and responses[0][0] <= now - SPEED_WINDOW_S:
+                responses.popleft()
 
     def keys(self, service: str, *, now: float) -> KeyLoad:
-        """Return the load of a service's keys."""
-        return KeyLoad(
-            keys=sorted(
-                sample.key
-                for at, sample in self._samples
-                if sample.service == service and sample.key >= 0 and at > now - LOAD_WINDOW_S
-            )
-        )
+        """Return the load of a service's keys over the window.
+
+        Neighbouring keys whose rate has just changed count by their latest rate.
+        """
+        arrivals = [
+            (at, key) for at, key in self._arrivals.get(service, ()) if at > now - LOAD_WINDOW_S
+        ]
+        if not arrivals:
+            return KeyLoad(keys=[])
+        window_s = max(now - arrivals[0][0], RECENT_S)
+        earlier = [key for at, key in arrivals if at <= now - RECENT_S]
+        recent = [key for at, key in arrivals if at > now - RECENT_S]
+        changed = _changed_groups(earlier, recent, earlier_s=window_s - RECENT_S)
+        if not changed:
+            return KeyLoad(keys=sorted(earlier + recent))
+        keys = [key for key in earlier if key // KEY_GROUP not in changed]
+        weight = max(1, round(window_s / RECENT_S))
+        for key in recent:
+            keys.extend([key] * (weight if key // KEY_GROUP in changed else 1))
+        return KeyLoad(keys=sorted(keys))
 
     def response_times(self, service: str, *, now: float) -> ResponseTimes:
         """Return typical response times of a service's upstreams."""
         by_upstream: dict[str, list[float]] = {}
-        for at, sample in self._samples:
-            if sample.service == service and sample.seconds >= 0 and at > now - SPEED_WINDOW_S:
-                by_upstream.setdefault(sample.upstream_id, []).append(sample.seconds)
+        for at, upstream_id, seconds in self._responses.get(service, ()):
+            if at > now - SPEED_WINDOW_S:
+                by_upstream.setdefault(upstream_id, []).append(seconds)
         return ResponseTimes(by_upstream=by_upstream)
 
 
+def _changed_groups(earlier: list[int], recent: list[int], *, earlier_s: float) -> set[int]:
+    """Return the groups of neighbouring keys whose rate rose or fell in the last second."""
+    if earlier_s <= 0:
+        return set()
+    before = Counter(key // KEY_GROUP for key in earlier)
+    after = Counter(key // KEY_GROUP for key in recent)
+    part = RECENT_S / earlier_s
+    return {
+        group
+        for group in before.keys() | after.keys()
+        if _differ(before[group] * part, after[group])
+    }
+
+
+def _differ(one: float, other: float) -> bool:
+    low, high = min(one, other), max(one, other)
+    return high > CHANGE_FACTOR * low + CHANGE_SAMPLES
+
+
 class KeyLoad:
     """Sampled keys in ascending order; the load of a range is its number of samples."""
 
--- /dev/null
+++ b/src/acaciasaddle/keyspace/_split.py
@@ -0,0 +1,27 @@
+"""Cuts a range of keys into parts of about equal load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from acaciasaddle.keyspace._types import KeyRange
+
+if TYPE_CHECKING:
+    from acaciasaddle.keyspace._load import KeyLoad
+
+
+def split(keys: KeyRange, pieces: int, load: KeyLoad) -> list[KeyRange]:
+    """Cut a range into at most ``pieces`` parts of about equal load, or size if it has none."""
+    weight = load.of(keys)
+    parts = []
+    first = keys.first
+    for piece in range(1, pieces):
+        if weight >= pieces:
+            last = load.key_at(keys, weight * piece // pieces)
+        else:
+            last = keys.first + keys.size * piece // pieces - 1
+        if first <= last < keys.last:
+            parts.append(KeyRange(first, last))
+            first = last + 1
+    parts.append(KeyRange(first, keys.last))
+    return parts
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -4,8 +4,10 @@
 
 from abc import ABC
 from abc import abstractmethod
+from bisect import bisect_left
 from bisect import bisect_right
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -53,6 +55,13 @@
         """Number of keys."""
         return self.last - self.first + 1
 
+    def without(self, keys: KeyRange) -> list[KeyRange]:
+        """Return what is left when other keys are cut out."""
+        if self.last < keys.first or self.first > keys.last:
+            return [self]
+        rest = [KeyRange(self.first, keys.first - 1), KeyRange(keys.last + 1, self.last)]
+        return [part for part in rest if part.first <= part.last]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Owner:
@@ -144,33 +153,20 @@
         return cls(spans=spans, fence=value["fence"], version=version)
 
     def replaced(self, keys: KeyRange, spans: Iterable[Span], *, fence: int) -> KeyMap:
-        """Return a map in which ``keys`` is cut out of its spans and ``spans`` take its place."""
-        result: list[Span] = []
-        for span in self.spans:
-            result.extend(_without(span, keys))
-        result.extend(spans)
-        result.sort(key=lambda span: span.keys.first)
-        return KeyMap(spans=tuple(result), fence=max(fence, self.fence), version=self.version)
-
-
-def _without(span: Span, keys: KeyRange) -> list[Span]:
-    if span.keys.last < keys.first or span.keys.first > keys.last:
-        return [span]
-    parts = []
-    if span.keys.first < keys.first:
-        parts.append(KeyRange(span.keys.first, keys.first - 1))
-    if span.keys.last > keys.last:
-        parts.append(KeyRange(keys.last + 1, span.keys.last))
-    return [
-        Span(
-            keys=part,
-            owner=span.owner,
-            fence=span.fence,
-            moving=span.moving,
-            previous=span.previous,
-        )
-        for part in parts
-    ]
+        """Return a map in which ``keys`` is cut out of its spans and ``spans`` take its place.
+
+        ``spans`` lie within ``keys``.
+        """
+        low = bisect_left(self.spans, keys.first, key=lambda span: span.keys.last)
+        high = bisect_right(self.spans, keys.last, key=lambda span: span.keys.first)
+        cut = [
+            replace(span, keys=part)
+            for span in self.spans[low:high]
+            for part in span.keys.without(keys)
+        ]
+        middle = sorted([*cut, *spans], key=lambda span: span.keys.first)
+        result = (*self.spans[:low], *middle, *self.spans[high:])
+        return KeyMap(spans=result, fence=max(fence, self.fence), version=self.version)
 
 
 class KeyOrders(ABC):
