Tell hosts what has changed, and let strong hosts take the role

Cause: at 73 hosts and 300 upstreams the coordinator sent all owners (27 kB), the whole registry (34 kB) and the whole configuration to every host at each change, several megabytes a second on links of 10 Mbit/s. Owners of many ranges exceeded the 65,536 bytes of a row, so the store refused every write. Change: hosts get the spans and entries that have changed; they read a new configuration from the store and ask the coordinator only when they cannot; rows are compressed; the levels of busy upstreams are told where no slot is free; hosts with less than 50 Mbit/s or 0.6 of a core leave a free role to others for 0.5 s.

--- a/features/node/settings.feature
+++ b/features/node/settings.feature
@@ -17,6 +17,17 @@
       | log_level        | "loud"      | $.log_level      |
       | bounds           | {"grace_s": 0} | $.bounds.grace_s |
 
+  Scenario Outline: weak hosts leave the coordinator's role to others for a while
+    When the node's settings are read with capacity set to <capacity>
+    Then the node takes a free role after <seconds> s
+
+    Examples:
+      | capacity                              | seconds |
+      | {"cores": 0.86, "bandwidth_mbps": 1000} | 0.0     |
+      | {"cores": 0.717, "bandwidth_mbps": 200} | 0.0     |
+      | {"cores": 0.43, "bandwidth_mbps": 1000} | 0.5     |
+      | {"cores": 0.86, "bandwidth_mbps": 10}   | 0.5     |
+
   Scenario: settings that cannot be read are refused
     When the node's settings are read from a missing file
     Then the node's settings are refused for "No such file"
--- /dev/null
+++ b/features/steps/links_changes_steps.py
@@ -0,0 +1,298 @@
+"""Steps of links/changes.feature."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import trio
+from behave import given
+from behave import then
+from behave import when
+from features.support.grown_owners import grown_owners
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.errors import PeerProtocolError
+from acaciasaddle.fleet import FleetView
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.fleet import UpstreamEntry
+from acaciasaddle.fleet import UpstreamLife
+from acaciasaddle.keyspace import LoadBook
+from acaciasaddle.links import Links
+from acaciasaddle.links._changes import OwnersLog
+from acaciasaddle.links._changes import RegistryCursor
+from acaciasaddle.links._changes import apply_part
+from acaciasaddle.links._messages import STATES
+from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import State
+from acaciasaddle.routing import CallerLimits
+from acaciasaddle.routing import Configuration
+
+if TYPE_CHECKING:
+    from acaciasaddle.keyspace import KeyMap
+    from acaciasaddle.links._messages import OwnersPart
+
+
+def _state(owners: list[OwnersPart]) -> State:
+    return State(
+        role_version=1,
+        role_age_s=0.1,
+        hosts=70,
+        configuration_age_s=0.1,
+        registry_age_s=0.1,
+        configuration_version=1,
+        configuration=None,
+        registry=None,
+        owners=owners,
+        busy={},
+    )
+
+
+class OwnersLogSteps:
+    """Guards against owners that a host misses or puts together wrongly."""
+
+    @staticmethod
+    @given("the owners of {upstreams:d} upstreams with {spans:d} spans")
+    def owners(context: Any, upstreams: int, spans: int) -> None:
+        first = grown_owners(upstreams=upstreams, spans=spans)
+        context.versions = [first]
+        context.log = OwnersLog(service="s")
+        context.log.update(first)
+
+    @staticmethod
+    @when("{count:d} spans get other owners")
+    @when("{count:d} spans get other owners {times:d} times")
+    def change(context: Any, count: int, times: int = 1) -> None:
+        for _ in range(times):
+            current: KeyMap = context.versions[-1]
+            changed = current
+            for index in range(count):
+                span = current.spans[index * 5]
+                other = current.spans[(index * 5 + len(context.versions)) % len(current.spans)]
+                fence = changed.fence + 1
+                moved = replace(span, owner=other.owner, fence=fence, moving=True)
+                changed = changed.replaced(span.keys, [moved], fence=fence)
+            context.versions.append(replace(changed, version=current.version + 1))
+            context.log.update(context.versions[-1])
+
+    @staticmethod
+    @then("a host of the version before is told the newest owners in at most {most:d} bytes")
+    def told_last(context: Any, most: int) -> None:
+        OwnersLogSteps.told(context, 1, most)
+
+    @staticmethod
+    @then("a host of {count:d} versions before is told the newest owners in at most {most:d} bytes")
+    def told(context: Any, count: int, most: int) -> None:
+        known = context.versions[-1 - count]
+        parts = context.log.since(known.version)
+        size = len(msgspec.msgpack.encode(_state(parts)))
+        for part in parts:
+            known = apply_part(part, known)
+        assert known == context.versions[-1]
+        assert size <= most, size
+
+    @staticmethod
+    @then("a host of {count:d} versions before is told all owners at once")
+    def told_all(context: Any, count: int) -> None:
+        (part,) = context.log.since(context.versions[-1].version - count)
+        assert part.base == 0
+        assert apply_part(part, None) == context.versions[-1]
+
+    @staticmethod
+    @then("a host with owners of another version refuses the change")
+    def refused(context: Any) -> None:
+        (part,) = context.log.since(context.versions[0].version)
+        try:
+            apply_part(part, replace(context.versions[0], version=7))
+        except PeerProtocolError:
+            return
+        raise AssertionError("the change was taken")
+
+
+class RegistryCursorSteps:
+    """Guards against entries that a host never hears of, or hears of at every change."""
+
+    @staticmethod
+    def _entry(number: int, *, draining: bool = False) -> UpstreamEntry:
+        return UpstreamEntry(
+            life=UpstreamLife(upstream_id=f"u{number}", started_ms=1),
+            service="s",
+            address=f"10.0.0.1:{number}",
+            data_centre="north",
+            slots=2,
+            draining=draining,
+            cold_s=0.0,
+        )
+
+    @staticmethod
+    @given("{count:d} entries of upstreams were told")
+    def told(context: Any, count: int) -> None:
+        context.entries = {f"u{n}": RegistryCursorSteps._entry(n) for n in range(count)}
+        context.cursor = RegistryCursor()
+        part = context.cursor.advance(context.entries)
+        assert part is not None and part.complete and len(part.entries) == count
+
+    @staticmethod
+    @when("{changed:d} entries change, {new:d} is new and {removed:d} are removed")
+    def change(context: Any, changed: int, new: int, removed: int) -> None:
+        entries = dict(context.entries)
+        for number in range(changed):
+            entries[f"u{number}"] = RegistryCursorSteps._entry(number, draining=True)
+        for number in range(1_000, 1_000 + new):
+            entries[f"u{number}"] = RegistryCursorSteps._entry(number)
+        for number in range(100, 100 + removed):
+            del entries[f"u{number}"]
+        context.entries = entries
+
+    @staticmethod
+    @then("{count:d} entries and {removed:d} removals are told")
+    def changes(context: Any, count: int, removed: int) -> None:
+        part = context.cursor.advance(context.entries)
+        assert part is not None and not part.complete
+        assert (len(part.entries), len(part.removed)) == (count, removed)
+
+    @staticmethod
+    @then("then nothing more is told")
+    def nothing(context: Any) -> None:
+        assert context.cursor.advance(dict(context.entries)) is None
+
+
+class _Counted:
+    """A stream to itself that counts its bytes."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.sent = 0
+
+    async def send_all(self, data: bytes) -> None:
+        self.data += data
+        self.sent += len(data)
+
+    async def receive_some(self, count: int) -> bytes:
+        received, self.data = bytes(self.data[:count]), self.data[count:]
+        return received
+
+
+class FrameStreamSteps:
+    """Guards against messages that do not fit the link or arrive changed."""
+
+    @staticmethod
+    @when("all owners of {upstreams:d} upstreams with {spans:d} spans are sent over a link")
+    def send(context: Any, upstreams: int, spans: int) -> None:
+        log = OwnersLog(service="s")
+        log.update(grown_owners(upstreams=upstreams, spans=spans))
+        context.sent_state = _state(log.since(0))
+
+        async def main() -> None:
+            stream: Any = _Counted()
+            frames = FrameStream(stream=stream, peer="p")
+            await frames.send(context.sent_state)
+            context.sent_bytes = stream.sent
+            context.received_state = await frames.receive(STATES)
+
+        trio.run(main)
+
+    @staticmethod
+    @then("they arrive the same in at most {most:d} bytes")
+    def same(context: Any, most: int) -> None:
+        assert context.received_state == context.sent_state
+        assert context.sent_bytes <= most, context.sent_bytes
+
+
+class _Role:
+    """Stands in for the coordinator's role of one host."""
+
+    def __init__(self, *, leading: bool) -> None:
+        self.leading = leading
+        self.role_version = 1
+        self.role_age_s = 0.1
+        self.coordinator_address = ""
+
+    def note_role(self, *, version: int, age_s: float) -> None:
+        """Nothing depends on it here."""
+
+
+class LinkedHostsSteps:
+    """Guards against a configuration that a host neither reads itself nor gets over its link."""
+
+    @staticmethod
+    def _view(clock: TrioClock, version: int) -> FleetView:
+        view = FleetView(clock=clock)
+        view.apply_configuration(
+            Configuration(version=version, routes=(), services={}, limits=CallerLimits())
+        )
+        view.note_configuration_read()
+        view.apply_registry(RegistryChange(revision=1, complete=True, entries={}))
+        return view
+
+    @staticmethod
+    @given(
+        "a coordinator with configuration {newer:d} and a host with configuration {older:d}, linked"
+    )
+    def linked(context: Any, newer: int, older: int) -> None:
+        context.link_versions = (newer, older)
+        context.link_runs = []
+
+    @staticmethod
+    @when("the link runs for {seconds:g} s")
+    def runs(context: Any, seconds: float) -> None:
+        context.link_runs.append(seconds)
+
+    @staticmethod
+    def _play(context: Any, seconds: float) -> tuple[bool, int]:
+        """Return whether the host is covered after the time, and its version."""
+
+        async def main() -> tuple[bool, int]:
+            clock = TrioClock(wall_offset=0.0)
+            newer, older = context.link_versions
+            ports = []
+            for _ in range(2):
+                (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                ports.append(listener.socket.getsockname()[1])
+                await listener.aclose()
+            links = []
+            views = [LinkedHostsSteps._view(clock, version) for version in (newer, older)]
+            for index, view in enumerate(views):
+                role: Any = _Role(leading=index == 0)
+                role.coordinator_address = f"127.0.0.1:{ports[0]}"
+                links.append(
+                    Links(
+                        host_id=f"h{index}",
+                        address=f"127.0.0.1:{ports[index]}",
+                        view=view,
+                        coordinator=role,
+                        load=LoadBook(),
+                        clock=clock,
+                        take_samples=list,
+                        busy=dict,
+                    )
+                )
+            async with trio.open_nursery() as nursery:
+                for link in links:
+                    await nursery.start(link.run)
+                with trio.move_on_after(seconds):
+                    while True:
+                        for view in views:
+                            view.note_registry_read(age_s=0.0)
+                            view.note_configuration_read()
+                        await trio.sleep(0.05)
+                cfg = views[1].configuration
+                result = links[1].covers_configuration(), cfg.version if cfg else 0
+                assert links[1].covers(), "the link does not stand"
+                nursery.cancel_scope.cancel()
+            return result
+
+        return trio.run(main)
+
+    @staticmethod
+    @then("the host is told to read the configuration itself")
+    def not_covered(context: Any) -> None:
+        covered, version = LinkedHostsSteps._play(context, context.link_runs[0])
+        assert not covered and version == context.link_versions[1]
+
+    @staticmethod
+    @then("the host has configuration {version:d}")
+    def has(context: Any, version: int) -> None:
+        assert LinkedHostsSteps._play(context, sum(context.link_runs)) == (True, version)
--- a/features/steps/node_settings_steps.py
+++ b/features/steps/node_settings_steps.py
@@ -83,3 +83,9 @@
     @then('the node\'s settings are refused for "{reason}"')
     def refused(context: Any, reason: str) -> None:
         assert reason in context.refused, context.refused
+
+    @staticmethod
+    @then("the node takes a free role after {seconds:g} s")
+    def delay(context: Any, seconds: float) -> None:
+        assert not context.refused, context.refused
+        assert context.settings.capacity.takeover_delay_s == seconds
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -4,12 +4,14 @@
 
 import base64
 import json
+import zlib
 from typing import Any
 
 import trio
 from behave import given
 from behave import then
 from behave import when
+from features.support.grown_owners import grown_owners
 from features.support.scripted_upstream import ANSWERS
 from features.support.scripted_upstream import ScriptedServer
 
@@ -24,8 +26,18 @@
     return f"+HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n{text}"
 
 
-def _row(key: str, ver: int, value: Any = None) -> dict[str, Any]:
-    data = base64.b64encode(json.dumps(value if value is not None else {}).encode()).decode()
+def _row(key: str, ver: int) -> dict[str, Any]:
+    """Return a row of the system's own."""
+    return _stored(key, ver, zlib.compress(b"{}"))
+
+
+def _entry(key: str, ver: int, value: Any) -> dict[str, Any]:
+    """Return a row that an upstream wrote."""
+    return _stored(key, ver, json.dumps(value).encode())
+
+
+def _stored(key: str, ver: int, value: bytes) -> dict[str, Any]:
+    data = base64.b64encode(value).decode()
     return {"table": "t", "part": "", "key": key, "value": data, "ver": ver}
 
 
@@ -46,6 +58,7 @@
     "many": _answer(429, ""),
     "bad json": _answer(200, "{"),
     "two rows": _answer(200, {"rows": [_row("a", 19), _row("b", 20)], "ver": 20, "nowS": 1}),
+    "unreadable row": _answer(200, {"rows": [_stored("a", 19, b"{}")], "ver": 20, "nowS": 1}),
     "gone": _answer(410, ""),
     "first page": _answer(
         200, {"rows": [_row("a", 1), _row("b", 2)], "truncated": True, "ver": 29}
@@ -55,9 +68,9 @@
         200,
         {
             "rows": [
-                _row("u1", 1, ENTRY),
+                _entry("u1", 1, ENTRY),
                 {"table": "t", "part": "", "key": "u2", "ver": 2, "deleted": True},
-                _row("u3", 3, {"service": 1}),
+                _entry("u3", 3, {"service": 1}),
             ],
             "ver": 3,
         },
@@ -98,6 +111,26 @@
 
         StoreClientSteps._with_client(context, work)
 
+    @staticmethod
+    @when("the store client writes owners of {upstreams:d} upstreams with {spans:d} spans")
+    def write_owners(context: Any, upstreams: int, spans: int) -> None:
+        owners = grown_owners(upstreams=upstreams, spans=spans)
+
+        async def work(client: StoreClient) -> str:
+            await PlatformTable(store=client).transact(
+                conditions={}, puts={"ownership/s": owners.to_json()}
+            )
+            return "written"
+
+        StoreClientSteps._with_client(context, work)
+
+    @staticmethod
+    @then("the value that the store got has at most {most:d} bytes")
+    def value_size(context: Any, most: int) -> None:
+        assert context.outcome == "written", context.outcome
+        body = json.loads(context.store.requests[0][1])
+        assert len(base64.b64decode(body["put"][0]["value"])) <= most
+
     @staticmethod
     @when("the store client reads changes")
     def read(context: Any) -> None:
--- a/features/users_platform/store.feature
+++ b/features/users_platform/store.feature
@@ -28,6 +28,12 @@
       | gone      | HistoryLostError         |
       | busy      | PlatformUnavailableError |
       | silent    | PlatformUnavailableError |
+      | unreadable row | PlatformUnavailableError |
+
+  Scenario: the owners of a grown fleet fit in one row
+    Given the store answers "committed"
+    When the store client writes owners of 400 upstreams with 1200 spans
+    Then the value that the store got has at most 65536 bytes
 
   Scenario: a table that does not fit in one answer is read in parts
     Given the store answers "first page, last page"
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -108,9 +108,15 @@
         clock: Clock,
         load: LoadBook,
         max_lease_s: float,
+        takeover_delay_s: float = 0.0,
         metrics: Metrics | None = None,
     ) -> None:
-        """``member`` is ``<host id>@<incarnation>``; ``max_lease_s`` bounds a lease of keys."""
+        """``member`` is ``<host id>@<incarnation>``; ``max_lease_s`` bounds a lease of keys.
+
+        ``takeover_delay_s``: time for which the host leaves a free role to others.
+        """
+        self._takeover_delay_s = takeover_delay_s
+        self._vacant_since: float | None = None
         self._member = member
         self.address = address
         self._view = view
@@ -207,8 +213,13 @@
         earlier = str(self._role_value.get("member", ""))
         own_earlier_life = earlier.partition("@")[0] == self._member.partition("@")[0]
         vacant = not earlier or own_earlier_life
-        left = TAKEOVER_S - (now - self._seen_at)
-        if not vacant and left > 0:
+        if not vacant:
+            self._vacant_since = None
+        elif self._vacant_since is None:
+            self._vacant_since = now
+        free_at = self._seen_at + TAKEOVER_S if self._vacant_since is None else self._vacant_since
+        left = free_at + self._takeover_delay_s - now
+        if left > 0:
             # A pause below the clock's resolution would not end.
             await trio.sleep(max(MIN_PAUSE_S, min(ROLE_POLL_S, left)))
             return
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import socket
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
@@ -16,8 +18,10 @@
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.kernel import Service
 from acaciasaddle.keyspace import ROLE_LEASE_S
-from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.keyspace import LoadSample
+from acaciasaddle.links._changes import OwnersLog
+from acaciasaddle.links._changes import RegistryCursor
+from acaciasaddle.links._changes import apply_part
 from acaciasaddle.links._messages import REPORTS
 from acaciasaddle.links._messages import STATES
 from acaciasaddle.links._messages import FrameStream
@@ -30,8 +34,11 @@
 
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet import FleetView
+    from acaciasaddle.fleet import UpstreamEntry
     from acaciasaddle.keyspace import Coordinator
     from acaciasaddle.keyspace import LoadBook
+    from acaciasaddle.links._messages import OwnersPart
+    from acaciasaddle.links._messages import RegistryPart
 
 INTERVAL_S = 0.4
 """Between two reports, and between two states if nothing changes."""
@@ -41,12 +48,25 @@
 RECONNECT_S = 0.2
 ALL_LINKED_S = 2.0
 """Hosts find a new coordinator within a poll of 0.5 s, and link to it within 0.7 s more."""
+OWN_READING_S = 0.7
+"""Time for a host to read a new configuration from the store before it asks the coordinator."""
 MAX_AGE_S = 1.6
 """Beliefs that the coordinator read longer ago than this do not spare a host its own reading."""
 
 log = get_logger("links")
 
 
+@dataclass(slots=True, kw_only=True)
+class _Told:
+    """What a host has been told over its link."""
+
+    host_id: str
+    owners: dict[str, int]
+    serial: int = -1
+    registry: RegistryCursor = field(default_factory=RegistryCursor)
+    needs_configuration: bool = False
+
+
 class Links(Service):
     """Listens for other hosts, and keeps a link to the coordinator while that is another host."""
 
@@ -73,6 +93,9 @@
         self._clock = clock
         self._take_samples = take_samples
         self._busy = busy
+        self._owner_logs: dict[str, OwnersLog] = {}
+        self._announced_version = 0
+        self._announced_at: float | None = None
         self._busy_of: dict[str, dict[str, int]] = {}
         self._state_at: float | None = None
         self._ages_fit = False
@@ -89,6 +112,12 @@
         """Whether the coordinator keeps this host informed."""
         return self.linked() and self._ages_fit
 
+    def covers_configuration(self) -> bool:
+        """Whether this host has the configuration that the coordinator has."""
+        cfg = self._view.configuration
+        version = cfg.version if cfg is not None else 0
+        return self.covers() and version >= self._announced_version
+
     def linked(self) -> bool:
         """Whether a coordinator whose role has not lapsed has been heard of lately."""
         now = self._clock.now()
@@ -145,21 +174,27 @@
             return
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         frames = FrameStream(stream=stream, peer="host")
-        host_id = ""
+        told: _Told | None = None
         try:
             async with stream, trio.open_nursery() as nursery:
-                nursery.start_soon(self._send_states, frames, nursery.cancel_scope)
                 try:
                     while self._coordinator.leading:
                         with trio.fail_after(SILENCE_S * 2):
                             report: Report = await frames.receive(REPORTS)
-                        host_id = report.host_id
                         self._take_report(report)
+                        if told is None:
+                            told = _Told(host_id=report.host_id, owners=dict(report.owners))
+                            nursery.start_soon(
+                                self._send_states, frames, told, nursery.cancel_scope
+                            )
+                        told.needs_configuration |= report.needs_configuration
                 except (PeerError, trio.TooSlowError) as exc:
+                    host_id = told.host_id if told else ""
                     log.info("link to host ended", host_id=host_id, reason=str(exc))
                 nursery.cancel_scope.cancel()
         finally:
-            self._busy_of.pop(host_id, None)
+            if told is not None:
+                self._busy_of.pop(told.host_id, None)
 
     def _take_report(self, report: Report) -> None:
         self._busy_of[report.host_id] = report.busy
@@ -169,43 +204,57 @@
         ]
         self._load.add(samples, now=self._clock.now())
 
-    async def _send_states(self, frames: FrameStream, scope: trio.CancelScope) -> None:
-        version, serial = 0, -1
-        versions: dict[str, int] = {}
+    async def _send_states(self, frames: FrameStream, told: _Told, scope: trio.CancelScope) -> None:
+        """Send states until the link or the role ends, then cancel the scope."""
         try:
             while self._coordinator.leading:
                 changed = self._view.changed
-                cfg, owners = self._view.configuration, dict(self._view.owners)
-                state = State(
-                    role_version=self._coordinator.role_version,
-                    role_age_s=self._coordinator.role_age_s,
-                    hosts=self.hosts,
-                    configuration_age_s=self._age(self._view.configuration_read_at),
-                    registry_age_s=self._age(self._view.registry_read_at),
-                    configuration=cfg if cfg is not None and cfg.version > version else None,
-                    registry=(
-                        list(self._view.upstreams.values())
-                        if self._view.registry_serial != serial
-                        else None
-                    ),
-                    owners={
-                        name: (value.version, value.to_json())
-                        for name, value in owners.items()
-                        if versions.get(name) != value.version
-                    },
-                    busy=self._total_busy,
-                )
-                version = cfg.version if cfg is not None else 0
-                serial = self._view.registry_serial
-                versions = {name: value.version for name, value in owners.items()}
                 with trio.fail_after(SILENCE_S):
-                    await frames.send(state)
+                    await frames.send(self._state_for(told))
                 with trio.move_on_after(INTERVAL_S):
                     await changed.wait()
         except (PeerError, trio.TooSlowError) as exc:
-            log.info("host does not take states", reason=str(exc))
+            log.info("host does not take states", host_id=told.host_id, reason=str(exc))
         scope.cancel()
 
+    def _state_for(self, told: _Told) -> State:
+        """Return what a host has not been told yet, and note it as told."""
+        cfg = self._view.configuration
+        version = cfg.version if cfg is not None else 0
+        registry = None
+        registry_age_s = self._age(self._view.registry_read_at)
+        if told.serial != self._view.registry_serial and registry_age_s < MAX_AGE_S:
+            told.serial = self._view.registry_serial
+            registry = told.registry.advance(self._view.upstreams)
+        parts: list[OwnersPart] = []
+        for service, owners in self._view.owners.items():
+            owners_log = self._owner_logs.setdefault(service, OwnersLog(service=service))
+            owners_log.update(owners)
+            parts += owners_log.since(told.owners.get(service, 0))
+            told.owners[service] = owners.version
+        needs_configuration, told.needs_configuration = told.needs_configuration, False
+        return State(
+            role_version=self._coordinator.role_version,
+            role_age_s=self._coordinator.role_age_s,
+            hosts=self._hosts,
+            configuration_age_s=self._age(self._view.configuration_read_at),
+            registry_age_s=registry_age_s,
+            configuration_version=version,
+            configuration=cfg if needs_configuration else None,
+            registry=registry,
+            owners=parts,
+            busy=self._full_upstreams(),
+        )
+
+    def _full_upstreams(self) -> dict[str, int]:
+        """Return the requests at upstreams without a free slot; the others need no care."""
+        upstreams = self._view.upstreams
+        return {
+            name: count
+            for name, count in self._total_busy.items()
+            if name in upstreams and count >= upstreams[name].slots
+        }
+
     def _age(self, at: float | None) -> float:
         return self._clock.now() - at if at is not None else MAX_AGE_S
 
@@ -240,7 +289,13 @@
                     (sample.service, sample.key, sample.upstream_id, round(sample.seconds, 3))
                     for sample in self._take_samples()
                 ]
-                report = Report(host_id=self._host_id, samples=samples, busy=self._busy())
+                report = Report(
+                    host_id=self._host_id,
+                    samples=samples,
+                    busy=self._busy(),
+                    owners={name: owners.version for name, owners in self._view.owners.items()},
+                    needs_configuration=self._needs_configuration(),
+                )
                 with trio.fail_after(SILENCE_S):
                     await frames.send(report)
                 await trio.sleep(INTERVAL_S)
@@ -256,19 +311,31 @@
         self._hosts = max(self._hosts, state.hosts)
         self._total_busy = state.busy
         self._coordinator.note_role(version=state.role_version, age_s=state.role_age_s)
+        if state.configuration_version != self._announced_version:
+            self._announced_version = state.configuration_version
+            self._announced_at = self._state_at
         if state.configuration is not None:
             self._view.apply_configuration(state.configuration)
-        if self._ages_fit:
+        if self._ages_fit and self.covers_configuration():
             self._view.note_configuration_read(age_s=state.configuration_age_s)
-            entries = state.registry
-            if entries is None:
-                self._view.note_registry_read(age_s=state.registry_age_s)
-            else:
-                change = RegistryChange(
-                    revision=0,
-                    complete=True,
-                    entries={entry.upstream_id: entry for entry in entries},
-                )
-                self._view.apply_registry(change, age_s=state.registry_age_s)
-        for service, (version, value) in state.owners.items():
-            self._view.apply_owners(service, KeyMap.from_json(value, version=version))
+        self._take_registry(state.registry, age_s=state.registry_age_s)
+        for part in state.owners:
+            known = self._view.owners.get(part.service)
+            if known is None or known.version < part.version:
+                self._view.apply_owners(part.service, apply_part(part, known))
+
+    def _take_registry(self, part: RegistryPart | None, *, age_s: float) -> None:
+        if part is None:
+            if self._ages_fit:
+                self._view.note_registry_read(age_s=age_s)
+            return
+        entries: dict[str, UpstreamEntry | None] = dict.fromkeys(part.removed)
+        entries.update({entry.upstream_id: entry for entry in part.entries})
+        change = RegistryChange(revision=0, complete=part.complete, entries=entries)
+        self._view.apply_registry(change, age_s=age_s)
+
+    def _needs_configuration(self) -> bool:
+        """Whether this host has failed to read the newest configuration for some time."""
+        if self._announced_at is None or self.covers_configuration():
+            return False
+        return self._clock.now() - self._announced_at > OWN_READING_S
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+import zlib
 from typing import Any
 
 import msgspec
@@ -20,26 +21,55 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """A configuration of some thousand routes takes about 1 MB."""
 RECEIVE_BYTES = 65_536
+COMPRESSED_BYTES = 4_096
+"""Messages from this size on are compressed. The smallest hosts have links of 5 Mbit/s."""
 _LENGTH = struct.Struct(">I")
+_COMPRESSED = 1 << 31
+"""Bit of the length that marks a compressed message."""
 
 
 class Report(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """What a host saw since its last report.
 
     ``samples`` are the fields of ``LoadSample``: service, key, upstream id and seconds; ``busy`` is
-    the number of its requests in progress at each upstream.
+    the number of its requests in progress at each upstream. ``owners`` maps a service to the
+    version of its keys' owners that the host knows. ``needs_configuration``: the host could not
+    read the newest configuration itself.
     """
 
     host_id: str
     samples: list[tuple[str, int, str, float]]
     busy: dict[str, int]
+    owners: dict[str, int]
+    needs_configuration: bool
+
+
+class OwnersPart(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
+    """Owners of a service's keys: all of them, or the spans changed since version ``base``.
+
+    ``value`` is the JSON value of a ``KeyMap``; ``base`` is 0 if it is complete.
+    """
+
+    service: str
+    base: int
+    version: int
+    value: dict[str, Any]
+
+
+class RegistryPart(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
+    """All upstreams, or those changed since the part before."""
+
+    complete: bool
+    entries: list[UpstreamEntry]
+    removed: list[str]
 
 
 class State(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """What the coordinator believes. Parts that have not changed are ``None`` or empty.
 
-    Ages are in seconds. ``owners`` maps a service to the version and JSON value of its keys'
-    owners.
+    Ages are in seconds. ``busy`` lists upstreams whose slots are all taken. The configuration
+    itself is only sent to a host that asks for it: that of a grown deployment takes hundreds of
+    kilobytes, and the platform's link is wider than the coordinator's.
     """
 
     role_version: int
@@ -47,9 +77,10 @@
     hosts: int
     configuration_age_s: float
     registry_age_s: float
+    configuration_version: int
     configuration: Configuration | None
-    registry: list[UpstreamEntry] | None
-    owners: dict[str, tuple[int, dict[str, Any]]]
+    registry: RegistryPart | None
+    owners: list[OwnersPart]
     busy: dict[str, int]
 
 
@@ -69,8 +100,12 @@
     async def send(self, message: msgspec.Struct) -> None:
         """Send a message."""
         data = _ENCODER.encode(message)
+        mark = 0
+        if len(data) >= COMPRESSED_BYTES:
+            data = zlib.compress(data, zlib.Z_BEST_SPEED)
+            mark = _COMPRESSED
         try:
-            await self._stream.send_all(_LENGTH.pack(len(data)) + data)
+            await self._stream.send_all(_LENGTH.pack(len(data) | mark) + data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise PeerUnreachableError(
                 "connection lost", step="links.send", peer=self._peer
@@ -78,14 +113,18 @@
 
     async def receive(self, decoder: msgspec.msgpack.Decoder[Any]) -> Any:
         """Receive the next message."""
-        (length,) = _LENGTH.unpack(await self._read(_LENGTH.size))
+        (header,) = _LENGTH.unpack(await self._read(_LENGTH.size))
+        length = header & ~_COMPRESSED
         if length > MAX_FRAME_BYTES:
             raise PeerProtocolError(
                 f"a message of {length} bytes", step="links.receive", peer=self._peer
             )
+        data = await self._read(length)
         try:
-            return decoder.decode(await self._read(length))
-        except msgspec.DecodeError as exc:
+            if header & _COMPRESSED:
+                data = zlib.decompressobj().decompress(data, MAX_FRAME_BYTES)
+            return decoder.decode(data)
+        except (msgspec.DecodeError, zlib.error) as exc:
             raise PeerProtocolError(str(exc), step="links.receive", peer=self._peer) from exc
 
     async def _read(self, count: int) -> bytes:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -90,6 +90,7 @@
             clock=clock,
             load=self.load,
             max_lease_s=bounds.max_lease_s,
+            takeover_delay_s=settings.capacity.takeover_delay_s,
             metrics=self.metrics,
         )
         self.links = Links(
@@ -130,6 +131,7 @@
                 registry=PlatformRegistry(store=store),
                 table=table,
                 covered=self.links.covers,
+                configuration_covered=self.links.covers_configuration,
                 leading=lambda: self.coordinator.leading,
             )
         )
--- a/src/acaciasaddle/node/_settings.py
+++ b/src/acaciasaddle/node/_settings.py
@@ -33,6 +33,29 @@
     repeat_slack: Annotated[float, msgspec.Meta(ge=0)] = 64.0
 
 
+COORDINATOR_BANDWIDTH_MBPS = 50.0
+COORDINATOR_CORES = 0.6
+"""What a coordinator of 70 hosts and 300 upstreams needs to spare when many keys move: states for
+all hosts several times a second, and an order for each of up to 1,200 ranges every 0.8 s."""
+WEAK_HOST_DELAY_S = 0.5
+"""A host with less leaves the role to others for this long."""
+
+
+class Capacity(msgspec.Struct, frozen=True, kw_only=True):
+    """What the host has: processor time in cores, and the bandwidth of its link."""
+
+    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    bandwidth_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
+
+    @property
+    def takeover_delay_s(self) -> float:
+        """Time for which the host leaves the coordinator's role to stronger ones."""
+        strong = (
+            self.cores >= COORDINATOR_CORES and self.bandwidth_mbps >= COORDINATOR_BANDWIDTH_MBPS
+        )
+        return 0.0 if strong else WEAK_HOST_DELAY_S
+
+
 class Statsd(msgspec.Struct, frozen=True, kw_only=True):
     """A statsd daemon that gets all metrics as well; lost datagrams are not noticed."""
 
@@ -57,6 +80,7 @@
     metrics_address: Address | None = None
     statsd: Statsd | None = None
     bounds: Bounds = Bounds()
+    capacity: Capacity = Capacity()
     log_level: Literal["debug", "info", "warning"] = "info"
 
 
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -89,10 +89,15 @@
         registry: Registry,
         table: Table,
         covered: Callable[[], bool],
+        configuration_covered: Callable[[], bool],
         leading: Callable[[], bool],
     ) -> None:
-        """``covered``: the coordinator passes on what it reads; ``leading``: this host is it."""
+        """``covered``: the coordinator passes on what it reads; ``leading``: this host is it.
+
+        ``configuration_covered``: it does, and has no newer configuration than this host.
+        """
         self._covered = covered
+        self._configuration_covered = configuration_covered
         self._leading = leading
         self._view = view
         self._configurations = configurations
@@ -103,7 +108,7 @@
         task_status.started()
         async with trio.open_nursery() as nursery:
             for name, read, interval_s, covered in (
-                ("configuration", self._read_configuration, 0.0, self._covered),
+                ("configuration", self._read_configuration, 0.0, self._configuration_covered),
                 ("owners", self._read_owners, 0.0, self._owners_covered),
                 ("registry", self._read_registry, REGISTRY_INTERVAL_S, self._covered),
             ):
--- a/src/acaciasaddle/platform/_store.py
+++ b/src/acaciasaddle/platform/_store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import zlib
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import urlencode
@@ -224,10 +225,7 @@
         self, *, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
     ) -> tuple[Row, ...]:
         expect = [{**_name(key), "ver": version} for key, version in conditions.items()]
-        put = [
-            {**_name(key), "value": base64.b64encode(json.dumps(value).encode()).decode()}
-            for key, value in puts.items()
-        ]
+        put = [{**_name(key), "value": _encode(value)} for key, value in puts.items()]
         ver = await self._store.transact({"expect": expect, "put": put, "remove": []})
         return tuple(
             Row(key=key, version=ver, revision=ver, value=value) for key, value in puts.items()
@@ -287,6 +285,16 @@
     return {"table": table, "part": "", "key": name}
 
 
+def _encode(value: JsonObject) -> str:
+    """Return the text of a row's value; a row holds 65,536 bytes, and each one is priced."""
+    return base64.b64encode(zlib.compress(json.dumps(value).encode())).decode()
+
+
 def _row(table: str, row: _StoredRow) -> Row:
-    value = json.loads(base64.b64decode(row.value))
+    try:
+        value = json.loads(zlib.decompress(base64.b64decode(row.value)))
+    except (zlib.error, ValueError) as exc:
+        raise PlatformUnavailableError(
+            f"row {row.key!r} cannot be read: {exc}", step="store.row", peer=table
+        ) from exc
     return Row(key=f"{table}/{row.key}", version=row.ver, revision=row.ver, value=value)
