--- /dev/null
+++ b/features/explain/logs.feature
@@ -0,0 +1,28 @@
+Feature: From the id of a failed request to its cause
+  Log lines of played days, of several hosts, in any order, with broken lines and clocks that differ.
+  Guards against a failure whose cause stands in the logs and is not found.
+
+  Scenario: refused while upstreams had room: its key was on its way
+    When request "00d58cb5317519c6" is explained from the logs "refused-node-1, refused-node-2"
+    Then the explanation has the reason "the key has no owner now"
+    And the explanation shows "keys move" with "fence=30"
+    And the explanation shows "release failed" with "fence=30"
+    And the explanation does not show "fence=77"
+    And the explanation shows "[node] started" with "edge-gwadar-b-1"
+    And the explanation counts 2 unreadable lines
+
+  Scenario: failed with an outcome that is not known: the upstream resets connections
+    When request "23926ed1fa3d9d39" is explained from the logs "unknown-node-1"
+    Then the explanation has the reason "the upstream did not answer"
+    And the explanation shows "send failed" with "request=23926ed1fa3d9d39"
+    And the explanation shows "send failed" with "request=aa"
+
+  Scenario: late: its first owner had given the key away
+    When request "959681f10caffb13" is explained from the logs "late-node-1"
+    Then the explanation has the reason ""
+    And the explanation shows "rejected by upstream" with "status=421"
+    And the explanation shows "keys move" with "target=i-1812cda470"
+
+  Scenario: a request that no log has
+    When request "none" is explained from the logs "late-node-1"
+    Then the explanation fails with "no line of request 'none' in 3 lines"
--- a/src/acaciasaddle/cli/_common.py
+++ b/src/acaciasaddle/cli/_common.py
@@ -79,16 +79,25 @@
 
 def host_option(func: F) -> F:
     """Add ``--host``."""
+    return _host_option(required=True)(func)
+
+
+def optional_host_option(func: F) -> F:
+    """Add ``--host`` to a command that can do without it."""
+    return _host_option(required=False)(func)
+
+
+def _host_option(*, required: bool) -> Callable[[F], F]:
     return click.option(
         "--host",
         "hosts",
         metavar="IP:PORT",
         multiple=True,
         callback=_addresses,
-        required=True,
+        required=required,
         envvar="ACACIASADDLE_HOST",
         help="Operator address of an entry host. Give several to fall back on.",
-    )(func)
+    )
 
 
 def configuration_options(func: F) -> F:
--- a/src/acaciasaddle/cli/_explain.py
+++ b/src/acaciasaddle/cli/_explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 
 import click
@@ -10,8 +11,15 @@
 from acaciasaddle.cli._common import client
 from acaciasaddle.cli._common import host_option
 from acaciasaddle.cli._common import json_option
+from acaciasaddle.cli._common import optional_host_option
+from acaciasaddle.explain import explain_from_logs
+from acaciasaddle.explain import read_logs
 from acaciasaddle.operator_api import to_json
 
+if TYPE_CHECKING:
+    from acaciasaddle.explain import LogLine
+    from acaciasaddle.explain import RequestStory
+
 
 @click.group(epilog="Example: acaciasaddle explain key --host 127.0.0.1:9000 bookings couple-17")
 def explain() -> None:
@@ -36,20 +44,62 @@
 @explain.command(
     "request",
     epilog="Example: acaciasaddle explain request --host 127.0.0.1:9000 "
-    "entry-01-0f8c2d4e6a1b4c3d8e5f7a9b0c1d2e3f",
+    "entry-01-0f8c2d4e6a1b4c3d8e5f7a9b0c1d2e3f, or from logs: "
+    "acaciasaddle explain request 00d58cb5317519c6 --logs node-1.log --logs node-2.log",
+)
+@optional_host_option
+@click.option(
+    "--logs",
+    "log_paths",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="Log of a routing node; may be given several times, in any order.",
 )
-@host_option
 @click.argument("request_id")
 @json_option
 @click.pass_context
 def explain_request(
-    ctx: click.Context, hosts: tuple[str, ...], request_id: str, as_json: bool
+    ctx: click.Context,
+    hosts: tuple[str, ...],
+    log_paths: tuple[str, ...],
+    request_id: str,
+    as_json: bool,
 ) -> None:
     """Show the steps of the request REQUEST_ID.
 
-    Only the host where it entered knows them; REQUEST_ID begins with the id of that host.
+    With --logs, from the logs of routing nodes alone. Otherwise from the host where it entered,
+    which alone knows them; REQUEST_ID begins with the id of that host.
     """
-    _show(client(ctx, hosts).explain_request(request_id), as_json=as_json)
+    if not log_paths:
+        if not hosts:
+            raise click.UsageError("give --host or --logs")
+        _show(client(ctx, hosts).explain_request(request_id), as_json=as_json)
+        return
+    lines, broken = read_logs(log_paths)
+    story = explain_from_logs(request_id, lines)
+    if not story.steps:
+        raise click.ClickException(
+            f"no line of request {request_id!r} in {len(lines)} lines ({broken} unreadable)"
+        )
+    _show(_story(story, broken), as_json=as_json)
+
+
+def _story(story: RequestStory, broken: int) -> dict[str, Any]:
+    outcome = story.outcome
+    found: dict[str, Any] = dict(outcome.fields) if outcome else {"reason": "no outcome was logged"}
+    return {
+        **found,
+        "steps": [_line(line) for line in story.steps],
+        "latest move of the key": [_line(line) for line in story.move],
+        "about the upstream": [_line(line) for line in story.upstream],
+        "dependencies of the host": [_line(line) for line in story.dependencies],
+        "unreadable lines": broken,
+    }
+
+
+def _line(line: LogLine) -> str:
+    fields = " ".join(f"{name}={_text(value)}" for name, value in line.fields.items())
+    return f"{line.at:.3f} {line.host} {line.event} {fields}"
 
 
 def _show(content: dict[str, Any], *, as_json: bool) -> None:
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -45,6 +45,13 @@
         """Whether configuration and registry have been read since the start."""
         return self.configuration is not None and self.registry_read_at is not None
 
+    @property
+    def registry_age_s(self) -> float | None:
+        """Seconds since the registry was read, or ``None`` if it never was."""
+        if self.registry_read_at is None:
+            return None
+        return round(self._clock.now() - self.registry_read_at, 3)
+
     def upstreams_of(self, service: str) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
         return [
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -440,8 +440,14 @@
             reason=reason,
             step=step,
             configuration=cfg.version if cfg else 0,
+            owners=self._owners_version(work),
+            registry_age_s=self._view.registry_age_s,
         )
 
+    def _owners_version(self, work: _Work | None) -> int:
+        owners = self._view.owners.get(work.service.name) if work else None
+        return owners.version if owners is not None else 0
+
 
 def _reply(resp: Response) -> Reply:
     headers = passed_on(resp.headers)
