Ask a store that turns the host away less and less

Change: the pause after a failure doubles up to one second; owners are read every 0.3 s at most. Tests: node/watch.feature, two of whose scenarios failed before.

--- /dev/null
+++ b/features/steps/node_watch_steps.py
@@ -0,0 +1,143 @@
+"""Steps of node/watch.feature: a watcher on a mock clock with scripted sources."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+from trio.testing import MockClock
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.errors import PlatformUnavailableError
+from acaciasaddle.fleet import ConfigurationChange
+from acaciasaddle.fleet import ConfigurationFeed
+from acaciasaddle.fleet import FleetView
+from acaciasaddle.fleet import Registry
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.node._watch import Watcher
+from acaciasaddle.routing import CallerLimits
+from acaciasaddle.routing import Configuration
+from acaciasaddle.table import Scan
+
+CALL_S = 0.004
+
+
+class _Sources(ConfigurationFeed, Registry):
+    """The platform's store as the watcher sees it."""
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()
+        self.refusing = False
+        self.busy_owners = False
+
+    async def _call(self, name: str) -> None:
+        self.calls[name] += 1
+        await trio.sleep(CALL_S)
+        if self.refusing:
+            raise PlatformUnavailableError("refused with status 429", step="store.get", peer="p")
+
+    async def changes(self, *, since: int, wait_s: float | None = None) -> Any:
+        if wait_s is None:
+            await self._call("registry")
+            return RegistryChange(revision=1, complete=True, entries={})
+        await self._call("configuration")
+        if since:
+            await trio.sleep(wait_s)
+            return ConfigurationChange(revision=1, configuration=None)
+        cfg = Configuration(version=1, routes=(), services={}, limits=CallerLimits())
+        return ConfigurationChange(revision=1, configuration=cfg)
+
+    async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
+        await self._call("owners")
+        if since and not self.busy_owners:
+            await trio.sleep(wait_s)
+        return Scan(revision=since + 1, rows=())
+
+
+class WatcherSteps:
+    """Guards against too many calls of the store, and news that is noticed too late."""
+
+    @staticmethod
+    def _given(context: Any, *, covered: bool = False) -> _Sources:
+        context.sources = _Sources()
+        context.covered = covered
+        context.acts = []
+        return context.sources
+
+    @staticmethod
+    @given("a watcher whose sources turn it away")
+    def refused(context: Any) -> None:
+        WatcherSteps._given(context).refusing = True
+
+    @staticmethod
+    @given("a watcher whose owners change all the time")
+    def busy(context: Any) -> None:
+        WatcherSteps._given(context).busy_owners = True
+
+    @staticmethod
+    @given("a watcher that is covered but for the configuration")
+    def covered(context: Any) -> None:
+        WatcherSteps._given(context, covered=True)
+
+    @staticmethod
+    @when("the watcher runs for {seconds:g} s")
+    def runs(context: Any, seconds: float) -> None:
+        context.acts.append((seconds, context.sources.refusing))
+
+    @staticmethod
+    @when("the sources return and the watcher runs for {seconds:g} s")
+    def returned(context: Any, seconds: float) -> None:
+        context.acts.append((seconds, False))
+
+    @staticmethod
+    def _play(context: Any) -> None:
+        sources = context.sources
+
+        async def main() -> None:
+            context.view = FleetView(clock=TrioClock(wall_offset=0.0))
+            table: Any = sources
+            watcher = Watcher(
+                view=context.view,
+                configurations=sources,
+                registry=sources,
+                table=table,
+                covered=lambda: context.covered,
+                configuration_covered=lambda: False,
+                leading=lambda: False,
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(watcher.run)
+                for seconds, refusing in context.acts:
+                    sources.refusing = refusing
+                    await trio.sleep(seconds)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    @staticmethod
+    @then("the sources were asked at most {count:d} times")
+    def asked(context: Any, count: int) -> None:
+        WatcherSteps._play(context)
+        assert sum(context.sources.calls.values()) <= count, context.sources.calls
+
+    @staticmethod
+    @then("the registry and the configuration have been read")
+    def complete(context: Any) -> None:
+        WatcherSteps._play(context)
+        assert context.view.complete
+
+    @staticmethod
+    @then("the owners were read at most {count:d} times")
+    def owners(context: Any, count: int) -> None:
+        WatcherSteps._play(context)
+        assert context.sources.calls["owners"] <= count, context.sources.calls
+
+    @staticmethod
+    @then("only the configuration was read")
+    def configuration(context: Any) -> None:
+        WatcherSteps._play(context)
+        assert set(context.sources.calls) == {"configuration"}, context.sources.calls
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -29,6 +29,12 @@
 """Upstreams may be used for 2 s after they began to drain; three reads fit."""
 COVERED_POLL_S = 0.1
 RETRY_S = 0.25
+MAX_RETRY_S = 1.0
+"""The pause doubles up to this while a source fails: refused calls are priced like the others, and
+a host that is turned away for seconds is told by its link what it misses."""
+OWNERS_INTERVAL_S = 0.3
+"""Owners may change with every round of the coordinator; a host without a link reads several
+rounds at once."""
 
 log = get_logger("watch")
 
@@ -51,6 +57,7 @@
 
     async def run(self, interval_s: float) -> None:
         since = 0
+        retry_s = RETRY_S
         while True:
             if self._covered():
                 since = 0
@@ -67,8 +74,10 @@
                 if not self._lost:
                     log.warning("source lost", source=self._name, reason=str(exc))
                 self._lost = True
-                await trio.sleep(RETRY_S)
+                await trio.sleep(retry_s)
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
                 continue
+            retry_s = RETRY_S
             if self._lost:
                 log.info("source regained", source=self._name, revision=since)
                 self._lost = False
@@ -109,7 +118,7 @@
         async with trio.open_nursery() as nursery:
             for name, read, interval_s, covered in (
                 ("configuration", self._read_configuration, 0.0, self._configuration_covered),
-                ("owners", self._read_owners, 0.0, self._owners_covered),
+                ("owners", self._read_owners, OWNERS_INTERVAL_S, self._owners_covered),
                 ("registry", self._read_registry, REGISTRY_INTERVAL_S, self._covered),
             ):
                 step = _Step(name=name, read=read, covered=covered)
