Move the coordinator's role into a module of its own

_coordinator.py did the role, the planning and the orders in 600 lines; the row, its lease and the writes under its condition are now in _role.py.

--- a/features/support/key_fleet.py
+++ b/features/support/key_fleet.py
@@ -239,7 +239,7 @@
     async def _run(host: Host) -> None:
         with host.scope:
             await host.coordinator.run()
-        host.coordinator._leading = False
+        host.coordinator._role.taken = False
 
 
 def play(fleet: KeyFleet, script: list[tuple[float, object]]) -> None:
--- a/src/acaciasaddle/keyspace/__init__.py
+++ b/src/acaciasaddle/keyspace/__init__.py
@@ -4,13 +4,13 @@
 
 from acaciasaddle.keyspace._balance import join_spans
 from acaciasaddle.keyspace._balance import plan_moves
-from acaciasaddle.keyspace._coordinator import ROLE_LEASE_S
 from acaciasaddle.keyspace._coordinator import Coordinator
 from acaciasaddle.keyspace._load import KeyLoad
 from acaciasaddle.keyspace._load import LoadBook
 from acaciasaddle.keyspace._load import LoadSample
 from acaciasaddle.keyspace._loads import Candidate
 from acaciasaddle.keyspace._loads import Move
+from acaciasaddle.keyspace._role import ROLE_LEASE_S
 from acaciasaddle.keyspace._split import split
 from acaciasaddle.keyspace._types import KEY_COUNT
 from acaciasaddle.keyspace._types import OWNERS_TABLE
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import ClassVar
 
 import trio
@@ -28,6 +27,9 @@
 from acaciasaddle.keyspace._balance import plan_moves
 from acaciasaddle.keyspace._leases import Tenure
 from acaciasaddle.keyspace._leases import lease_end
+from acaciasaddle.keyspace._role import ROLE_LEASE_S
+from acaciasaddle.keyspace._role import ROLE_RENEWAL_S
+from acaciasaddle.keyspace._role import CoordinatorRole
 from acaciasaddle.keyspace._types import OWNERS_TABLE
 from acaciasaddle.keyspace._types import FencedError
 from acaciasaddle.keyspace._types import KeyMap
@@ -48,15 +50,6 @@
     from acaciasaddle.observe import Metrics
     from acaciasaddle.table import Table
 
-COORDINATOR_TABLE = "coordination"
-COORDINATOR_KEY = f"{COORDINATOR_TABLE}/coordinator"
-
-ROLE_LEASE_S = 1.5
-"""Time after its last successful write for which a coordinator goes on giving orders."""
-ROLE_RENEWAL_S = 0.5
-"""Two writes may fail within a role lease."""
-TAKEOVER_S = 1.6
-"""A host takes over a role whose row has not changed for this long."""
 ROLE_POLL_S = 0.5
 MIN_PAUSE_S = 0.01
 TICK_S = 0.25
@@ -78,9 +71,6 @@
 MAX_LOST_SHARE = 0.5
 """A host to which more of the upstreams are lost at the same time gives the role back."""
 MIN_LOST_TO_YIELD = 3
-YIELD_S = 5.0
-"""Time for which a host that gave the role back does not compete."""
-
 log = get_logger("coordinator")
 
 
@@ -115,10 +105,14 @@
 
         ``takeover_delay_s``: time for which the host leaves a free role to others.
         """
-        self._takeover_delay_s = takeover_delay_s
-        self._vacant_since: float | None = None
-        self._member = member
         self.address = address
+        self._role = CoordinatorRole(
+            member=member,
+            address=address,
+            table=table,
+            clock=clock,
+            takeover_delay_s=takeover_delay_s,
+        )
         self._view = view
         self._table = table
         self._orders = orders
@@ -126,47 +120,37 @@
         self._load = load
         self._max_lease_s = max_lease_s
         self._metrics = metrics or NullMetrics()
-        self._role_version = 0
-        self._role_value: dict[str, Any] = {}
-        self._seen_at = 0.0
-        self._held_until = 0.0
-        self._written_at = 0.0
         self._owners: dict[str, KeyMap] = {}
         self._tenures: dict[Owner, Tenure] = {}
         self._completed: list[KeyChange] = []
         self._joined_at: dict[str, float] = {}
         self._under_way: set[tuple[str, int]] = set()
-        self._writing = trio.Lock()
         self._stopping = False
-        self._yielded_at: float | None = None
-        self._leading = False
         self.linked: Callable[[], bool] = lambda: False
 
     @property
     def leading(self) -> bool:
         """Whether this host has the role and it has not lapsed."""
-        return self._leading and self._clock.now() < self._held_until
+        return self._role.held
 
     @property
     def coordinator_address(self) -> str:
         """Address of the host that has the role, as far as known."""
-        return str(self._role_value.get("address", ""))
+        return self._role.holder_address
 
     @property
     def role_version(self) -> int:
         """Version of the role's row as last seen."""
-        return self._role_version
+        return self._role.version
 
     @property
     def role_age_s(self) -> float:
         """Seconds since the role's row was last seen to change."""
-        return self._clock.now() - self._seen_at
+        return self._role.age_s
 
     def note_role(self, *, version: int, age_s: float) -> None:
         """Take note of a version of the role's row that the coordinator passes on."""
-        if not self._leading and version > self._role_version:
-            self._role_version = version
-            self._seen_at = self._clock.now() - age_s
+        self._role.note(version=version, age_s=age_s)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         task_status.started()
@@ -177,18 +161,17 @@
                 log.warning("role not decided", reason=str(exc))
                 await trio.sleep(ROLE_POLL_S)
                 continue
-            if self._leading:
+            if self._role.taken:
                 await self._lead()
 
     async def stop(self) -> None:
         """Give the role back, so that another host need not wait for it to lapse."""
         self._stopping = True
-        if not self._leading:
+        if not self._role.taken:
             return
-        self._leading = False
-        self._held_until = 0.0
+        self._role.taken = False
         try:
-            await self._write_role({}, {}, released=True)
+            await self._role.give_back()
             log.info("role given back")
         except PlatformError as exc:
             log.warning("role not given back", reason=str(exc))
@@ -197,41 +180,24 @@
 
     async def _compete(self) -> None:
         """Follow the role's row until this host may take it, then try once."""
-        if self._seen_at and self.linked():
+        if self._role.known and self.linked():
             await trio.sleep(TICK_S)
             return
-        row = await self._table.read(COORDINATOR_KEY)
-        now = self._clock.now()
-        version = row.version if row is not None else 0
-        if version != self._role_version or self._seen_at == 0.0:
-            self._role_version, self._seen_at = version, now
-            self._role_value = dict(row.value) if row is not None else {}
-        resting = self._yielded_at is not None and now - self._yielded_at < YIELD_S
-        if self._stopping or resting or not self._view.complete:
+        left = await self._role.look()
+        if self._stopping or not self._view.complete:
             await trio.sleep(TICK_S)
             return
-        earlier = str(self._role_value.get("member", ""))
-        own_earlier_life = earlier.partition("@")[0] == self._member.partition("@")[0]
-        vacant = not earlier or own_earlier_life
-        if not vacant:
-            self._vacant_since = None
-        elif self._vacant_since is None:
-            self._vacant_since = now
-        free_at = self._seen_at + TAKEOVER_S if self._vacant_since is None else self._vacant_since
-        left = free_at + self._takeover_delay_s - now
         if left > 0:
             # A pause below the clock's resolution would not end.
             await trio.sleep(max(MIN_PAUSE_S, min(ROLE_POLL_S, left)))
             return
         started = self._clock.now()
-        try:
-            await self._write_role({}, {})
-        except ConditionFailedError:
-            log.info("another host took the role")
+        earlier = await self._role.take()
+        if earlier is None:
             return
         await self._load_owners(taken_at=started, vacant=not earlier)
-        self._leading = True
-        log.info("role taken", previous=earlier, version=self._role_version)
+        self._role.taken = True
+        log.info("role taken", previous=earlier, version=self._role.version)
 
     async def _load_owners(self, *, taken_at: float, vacant: bool) -> None:
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
@@ -251,45 +217,10 @@
                     if owner is not None:
                         self._tenures.setdefault(owner, Tenure(held_until=until))
 
-    async def _write_role(
-        self,
-        conditions: dict[str, int],
-        puts: dict[str, Any],
-        *,
-        released: bool = False,
-    ) -> dict[str, int]:
-        """Write the role's row, with other rows, if this host's view of it is current.
-
-        Returns the new version of each row.
-        """
-        async with self._writing:
-            started = self._clock.now()
-            member = "" if released else self._member
-            value = {"member": member, "address": self.address, "at": started}
-            rows = await self._table.transact(
-                conditions={COORDINATOR_KEY: self._role_version, **conditions},
-                puts={COORDINATOR_KEY: value, **puts},
-            )
-            self._role_version = next(row.version for row in rows if row.key == COORDINATOR_KEY)
-            self._role_value = value
-            self._note_written(started)
-            if released:
-                self._held_until = 0.0
-            return {row.key: row.version for row in rows}
-
-    def _note_written(self, started: float) -> None:
-        """Note that the role's row was written by a call that started at a given time."""
-        self._seen_at = self._written_at = started
-        self._held_until = started + ROLE_LEASE_S
-
     async def _settle_role(self) -> bool:
         """After a write with an unknown outcome: take over what it did, or give up the role."""
-        row = await self._table.read(COORDINATOR_KEY)
-        if row is None or row.value.get("member") != self._member:
+        if not await self._role.settle():
             return False
-        if row.version != self._role_version:
-            self._role_version = row.version
-            self._note_written(float(row.value["at"]))
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
         for found in scan.rows:
             service = found.key.partition("/")[2]
@@ -311,15 +242,14 @@
             nursery.start_soon(self._renew_leases, nursery)
             nursery.start_soon(self._probe_lost)
             unknown = False
-            while self._leading:
+            while self._role.taken:
                 try:
                     if unknown and not await self._settle_role():
                         break
                     unknown = False
                     if self._is_cut_off():
                         log.warning("most upstreams are out of reach, giving the role back")
-                        await self._write_role({}, {}, released=True)
-                        self._yielded_at = self._clock.now()
+                        await self._role.yield_back()
                         break
                     await self._round()
                     self._start_moves(nursery)
@@ -332,9 +262,9 @@
                 except PlatformError as exc:
                     log.warning("table not available", reason=str(exc))
                 await trio.sleep(TICK_S)
-            self._leading = False
+            self._role.taken = False
             nursery.cancel_scope.cancel()
-        self._seen_at = 0.0
+        self._role.lose()
 
     def _is_cut_off(self) -> bool:
         """Whether this host, rather than its upstreams, is the one that is out of reach."""
@@ -371,7 +301,7 @@
         changed = {
             name: value for name, value in owners.items() if value is not self._owners.get(name)
         }
-        if not changed and now - self._written_at < ROLE_RENEWAL_S:
+        if not changed and self._role.since_write_s < ROLE_RENEWAL_S:
             return
         conditions = {
             f"{OWNERS_TABLE}/{name}": self._owners[name].version if name in self._owners else 0
@@ -379,7 +309,7 @@
         }
         puts = {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in changed.items()}
         try:
-            versions = await self._write_role(conditions, puts)
+            versions = await self._role.write(conditions, puts)
         except PlatformError:
             self._completed = completed + self._completed
             raise
@@ -523,11 +453,11 @@
     async def _grant(self, span: Span, *, handover: str = "") -> None:
         """Grant or renew the keys of a span while the role is surely held."""
         now = self._clock.now()
-        if now >= self._held_until:
+        if self._role.lapsed:
             raise AuthorityLostError(
                 "the role may have lapsed", step="coordinator.grant", peer=span.owner.address
             )
-        trouble = now - self._written_at > STORE_TROUBLE_S
+        trouble = self._role.since_write_s > STORE_TROUBLE_S
         lease_s = self._max_lease_s if trouble else KEY_LEASE_S
         tenure = self._tenure(span.owner)
         before = tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
--- /dev/null
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -0,0 +1,195 @@
+"""The coordinator's role: a row of the table that one host at a time renews.
+
+The row is written under the condition that it has not changed, so of two hosts one wins. Every
+other row that a coordinator writes is written in the same transaction.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.observe import get_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from acaciasaddle.clock import Clock
+    from acaciasaddle.model._rows import JsonObject
+    from acaciasaddle.table import Table
+
+COORDINATOR_TABLE = "coordination"
+COORDINATOR_KEY = f"{COORDINATOR_TABLE}/coordinator"
+
+ROLE_LEASE_S = 1.5
+"""Time after its last successful write for which a coordinator goes on giving orders."""
+ROLE_RENEWAL_S = 0.5
+"""Two writes may fail within a role lease."""
+TAKEOVER_S = 1.6
+"""A host takes over a role whose row has not changed for this long."""
+YIELD_S = 5.0
+"""Time for which a host that gave the role back does not compete."""
+
+log = get_logger("coordinator")
+
+
+class CoordinatorRole:
+    """What this host knows of the role, and its writes while it has it."""
+
+    def __init__(
+        self,
+        *,
+        member: str,
+        address: str,
+        table: Table,
+        clock: Clock,
+        takeover_delay_s: float,
+    ) -> None:
+        """``takeover_delay_s``: time for which the host leaves a free role to others."""
+        self._member = member
+        self._address = address
+        self._table = table
+        self._clock = clock
+        self._takeover_delay_s = takeover_delay_s
+        self._value: Mapping[str, Any] = {}
+        self._seen_at: float | None = None
+        self._vacant_since: float | None = None
+        self._held_until = 0.0
+        self._written_at = 0.0
+        self._yielded_at: float | None = None
+        self._writing = trio.Lock()
+        self.version = 0
+        self.taken = False
+
+    @property
+    def held(self) -> bool:
+        """Whether this host took the role and it has not lapsed."""
+        return self.taken and not self.lapsed
+
+    @property
+    def lapsed(self) -> bool:
+        """Whether another host may have the role by now."""
+        return self._clock.now() >= self._held_until
+
+    @property
+    def holder_address(self) -> str:
+        """Address of the host that has the role, as far as known."""
+        return str(self._value.get("address", ""))
+
+    @property
+    def known(self) -> bool:
+        """Whether the row has been seen since this host last lost the role."""
+        return self._seen_at is not None
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the row was last seen to change."""
+        return self._clock.now() - (self._seen_at or 0.0)
+
+    @property
+    def since_write_s(self) -> float:
+        """Seconds since this host's last successful write."""
+        return self._clock.now() - self._written_at
+
+    def note(self, *, version: int, age_s: float) -> None:
+        """Take note of a version of the row that the coordinator passes on."""
+        if not self.taken and version > self.version:
+            self.version = version
+            self._seen_at = self._clock.now() - age_s
+
+    async def look(self) -> float:
+        """Read the row; return the seconds until this host may try to take the role."""
+        row = await self._table.read(COORDINATOR_KEY)
+        now = self._clock.now()
+        version = row.version if row is not None else 0
+        if version != self.version or self._seen_at is None:
+            self.version, self._seen_at = version, now
+            self._value = dict(row.value) if row is not None else {}
+        resting_s = 0.0
+        if self._yielded_at is not None:
+            resting_s = self._yielded_at + YIELD_S - now
+        if not self._vacant():
+            self._vacant_since = None
+            free_at = self._seen_at + TAKEOVER_S
+        else:
+            self._vacant_since = free_at = self._vacant_since or now
+        return max(resting_s, free_at + self._takeover_delay_s - now)
+
+    async def take(self) -> str | None:
+        """Try to take the role; return the member that had it, or ``None`` if another host won."""
+        earlier = str(self._value.get("member", ""))
+        try:
+            await self.write({}, {})
+        except ConditionFailedError:
+            log.info("another host took the role")
+            return None
+        return earlier
+
+    async def write(
+        self, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> dict[str, int]:
+        """Write rows and renew the role, if this host's view of it is current.
+
+        Returns the new version of each row.
+        """
+        async with self._writing:
+            started = self._clock.now()
+            versions = await self._transact(self._member, started, conditions, puts)
+            self._note_written(started)
+            return versions
+
+    async def give_back(self) -> None:
+        """Let another host take the role at once."""
+        async with self._writing:
+            self._held_until = 0.0
+            await self._transact("", self._clock.now(), {}, {})
+
+    async def yield_back(self) -> None:
+        """Give the role back and do not compete for it for some time."""
+        await self.give_back()
+        self._yielded_at = self._clock.now()
+
+    async def settle(self) -> bool:
+        """After a write with an unknown outcome: return whether this host still has the role."""
+        row = await self._table.read(COORDINATOR_KEY)
+        if row is None or row.value.get("member") != self._member:
+            return False
+        if row.version != self.version:
+            self.version = row.version
+            self._note_written(float(row.value["at"]))
+        return True
+
+    def lose(self) -> None:
+        """Forget what was seen of the row; it is read anew."""
+        self.taken = False
+        self._seen_at = None
+
+    def _vacant(self) -> bool:
+        """Whether nobody has the role, or an earlier life of this host."""
+        earlier = str(self._value.get("member", ""))
+        return not earlier or earlier.partition("@")[0] == self._member.partition("@")[0]
+
+    async def _transact(
+        self,
+        member: str,
+        at: float,
+        conditions: Mapping[str, int],
+        puts: Mapping[str, JsonObject],
+    ) -> dict[str, int]:
+        value = {"member": member, "address": self._address, "at": at}
+        rows = await self._table.transact(
+            conditions={COORDINATOR_KEY: self.version, **conditions},
+            puts={COORDINATOR_KEY: value, **puts},
+        )
+        versions = {row.key: row.version for row in rows}
+        self.version = versions[COORDINATOR_KEY]
+        self._value = value
+        return versions
+
+    def _note_written(self, started: float) -> None:
+        """Note that the row was written by a call that started at a given time."""
+        self._seen_at = self._written_at = started
+        self._held_until = started + ROLE_LEASE_S
