Let bulky work yield to urgent work, and choose among unkeyed upstreams by all hosts' load

The choice among upstreams of a service without keys used this host's requests only, which are few at 67 hosts, so all hosts preferred the same fast upstreams. A refusal after a send of a lookup that may have run was said to be 'not run'. Change: bulky work takes at most as many places in a queue as there are slots while more urgent work arrives; the choice is the best of four by chance, by the requests of all hosts; work that cannot be in time at the best upstream is refused at once; a refusal behind an unknown outcome is a 502. Ruled out: holding back every rank but the first, which would hold deposits back at the owners of keys for a few holds.

--- a/features/forward/admission.feature
+++ b/features/forward/admission.feature
@@ -35,3 +35,15 @@
     Given an owner with 2 slots, 200 ms in a slot, a queue of 20 and arrivals at 0.5 times its rate
     When the flood lasts 20 s with counts that are 0.4 s old
     Then at most 0 of the requests are refused
+
+  Scenario: bulky work floods a service that urgent work shares
+    Given a service of 16 upstreams with 2 slots and 250 ms of work, 128 requests/s in all
+    When 45 urgent and 110 bulky requests/s arrive for 10 s
+    Then urgent requests are served in time at least as often as bulky ones
+    And more urgent requests are served than if bulky work did not yield
+    And the slots of the service are busy for at least 90% of the time
+
+  Scenario: bulky work that has a service for itself is not held back
+    Given a service of 16 upstreams with 2 slots and 250 ms of work, 128 requests/s in all
+    When 0 urgent and 90 bulky requests/s arrive for 10 s
+    Then at least 99% of the bulky requests are served in time
--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -58,6 +58,12 @@
     And the caller is told when to come back
     And upstreams got 1 requests
 
+  Scenario: a lookup that may have run is not said to be not run
+    Given upstream "u1" of the open service answers "reset"
+    And an unreachable upstream "u2" of the open service
+    When a lookup is forwarded
+    Then the caller gets 502 ""
+
   Scenario: no more upstreams than the route allows
     Given upstream "u1" of the open service answers "full"
     And upstream "u2" of the open service answers "full"
--- a/features/steps/forward_admission_steps.py
+++ b/features/steps/forward_admission_steps.py
@@ -10,6 +10,9 @@
 from behave import given
 from behave import then
 from behave import when
+from features.support.shared_service import BULKY_RANK
+from features.support.shared_service import URGENT_RANK
+from features.support.shared_service import SharedService
 
 from acaciasaddle.forward import retry_after_s
 
@@ -137,3 +140,51 @@
     def few(context: Any, part: float) -> None:
         result = context.with_admission
         assert result.refused <= part * result.arrived, result
+
+
+class SharedServiceSteps:
+    """Guards against bulky work that takes the places of urgent work."""
+
+    @staticmethod
+    @given(
+        "a service of {upstreams:d} upstreams with {slots:d} slots and {ms:d} ms of work, "
+        "{rate:d} requests/s in all"
+    )
+    def service(context: Any, upstreams: int, slots: int, ms: int, rate: int) -> None:
+        assert rate == upstreams * slots * 1000 // ms
+        context.shared, context.unyielding = (
+            SharedService(upstreams=upstreams, slots=slots, work_s=ms / 1000, yields=yields)
+            for yields in (True, False)
+        )
+
+    @staticmethod
+    @when("{urgent:d} urgent and {bulky:d} bulky requests/s arrive for {seconds:g} s")
+    def play(context: Any, urgent: int, bulky: int, seconds: float) -> None:
+        context.seconds = seconds
+        for shared in (context.shared, context.unyielding):
+            shared.play(urgent=urgent, bulky=bulky, seconds=seconds)
+
+    @staticmethod
+    @then("at least {percent:d}% of the bulky requests are served in time")
+    def served(context: Any, percent: int) -> None:
+        part = context.shared.part(BULKY_RANK)
+        assert part >= percent / 100, part
+
+    @staticmethod
+    @then("urgent requests are served in time at least as often as bulky ones")
+    def ranked(context: Any) -> None:
+        found = (context.shared.part(URGENT_RANK), context.shared.part(BULKY_RANK))
+        assert found[0] >= found[1], found
+
+    @staticmethod
+    @then("more urgent requests are served than if bulky work did not yield")
+    def gain(context: Any) -> None:
+        found = (context.shared.part(URGENT_RANK), context.unyielding.part(URGENT_RANK))
+        assert found[0] > found[1], found
+
+    @staticmethod
+    @then("the slots of the service are busy for at least {percent:d}% of the time")
+    def used(context: Any, percent: int) -> None:
+        shared = context.shared
+        part = shared.busy_s / (shared.upstreams * shared.slots * context.seconds)
+        assert part >= percent / 100, part
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -198,6 +198,7 @@
                 # The choice among equal upstreams is random; prefer them in order here.
                 for index, name in enumerate(sorted(entries)):
                     forwarder._states.of(name).seconds = 0.01 * 10**index
+                    forwarder._slot_times.by_upstream[name] = 0.01 * 2**index
                 for number, path in enumerate(paths, start=1):
                     started = trio.current_time()
                     context.reply = await forwarder.handle(_request(path, number, key))
--- /dev/null
+++ b/features/support/shared_service.py
@@ -0,0 +1,96 @@
+"""A service without keys that urgent and bulky work share, played without a network.
+
+Many hosts choose upstreams with counts of each other's requests that are some time old.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass
+from dataclasses import field
+
+from acaciasaddle.forward import RankPressure
+from acaciasaddle.forward import expected_response_s
+from acaciasaddle.forward import retry_after_s
+
+REPORT_S = 0.4
+"""Between two reports of the hosts."""
+CHOICES = 4
+URGENT_RANK, BULKY_RANK = 0, 2
+DEADLINES_S = {URGENT_RANK: 1.2, BULKY_RANK: 4.0}
+SERVICE = "s"
+
+
+@dataclass(slots=True)
+class Upstream:
+    """Slots with a bounded queue; ``known`` is the number of its requests as last reported."""
+
+    free_at: list[float]
+    ends: list[float] = field(default_factory=list)
+    known: int = 0
+
+    def requests(self, now: float) -> int:
+        """Return the requests that are waiting or in a slot."""
+        self.ends = [end for end in self.ends if end > now]
+        return len(self.ends)
+
+
+@dataclass(slots=True, kw_only=True)
+class SharedService:
+    """Counts of what arrived and what was served in time, by rank."""
+
+    upstreams: int = 16
+    slots: int = 2
+    queue: int = 8
+    work_s: float = 0.25
+    yields: bool = True
+    arrived: dict[int, int] = field(default_factory=lambda: {URGENT_RANK: 0, BULKY_RANK: 0})
+    in_time: dict[int, int] = field(default_factory=lambda: {URGENT_RANK: 0, BULKY_RANK: 0})
+    busy_s: float = 0.0
+
+    def play(self, *, urgent: float, bulky: float, seconds: float, seed: int = 3) -> None:
+        """Play arrivals at the given rates a second."""
+        rng = random.Random(seed)
+        pressure = RankPressure()
+        fleet = [Upstream(free_at=[0.0] * self.slots) for _ in range(self.upstreams)]
+        now = reported_at = 0.0
+        while now < seconds:
+            now += rng.expovariate(urgent + bulky)
+            if now - reported_at >= REPORT_S:
+                reported_at = now
+                for each in fleet:
+                    each.known = each.requests(now)
+            rank = URGENT_RANK if rng.random() < urgent / (urgent + bulky) else BULKY_RANK
+            self.arrived[rank] += 1
+            pressure.note(SERVICE, rank, now=now)
+            chosen = min(rng.sample(fleet, CHOICES), key=self._expected)
+            yields = self.yields and rank == BULKY_RANK and pressure.more_urgent(SERVICE, rank)
+            refused = retry_after_s(
+                slot_s=self.work_s,
+                busy=chosen.known,
+                slots=self.slots,
+                left_s=DEADLINES_S[rank],
+                yields=yields,
+            )
+            if refused is None:
+                self._serve(chosen, rank, now, self.work_s * rng.uniform(0.5, 1.5))
+
+    def part(self, rank: int) -> float:
+        """Return the part of the requests of a rank that were served in time."""
+        return self.in_time[rank] / self.arrived[rank]
+
+    def _expected(self, upstream: Upstream) -> float:
+        return expected_response_s(slot_s=self.work_s, busy=upstream.known, slots=self.slots)
+
+    def _serve(self, upstream: Upstream, rank: int, now: float, work_s: float) -> None:
+        if upstream.requests(now) >= self.slots + self.queue:
+            return
+        start = max(now, heapq.heappop(upstream.free_at))
+        if start > now + DEADLINES_S[rank]:
+            heapq.heappush(upstream.free_at, start)
+            return
+        heapq.heappush(upstream.free_at, start + work_s)
+        upstream.ends.append(start + work_s)
+        self.busy_s += work_s
+        self.in_time[rank] += start + work_s <= now + DEADLINES_S[rank]
--- a/src/acaciasaddle/forward/__init__.py
+++ b/src/acaciasaddle/forward/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from acaciasaddle.forward._admission import RankPressure
+from acaciasaddle.forward._admission import expected_response_s
 from acaciasaddle.forward._admission import retry_after_s
 from acaciasaddle.forward._budget import BudgetTerms
 from acaciasaddle.forward._budget import RepeatBudget
@@ -16,8 +18,10 @@
     "CallerRequest",
     "Dialect",
     "Forwarder",
+    "RankPressure",
     "RepeatBudget",
     "Reply",
     "RequestTerms",
+    "expected_response_s",
     "retry_after_s",
 ]
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -12,7 +12,9 @@
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.errors import UpstreamError
+from acaciasaddle.forward._admission import RankPressure
 from acaciasaddle.forward._admission import SlotTimes
+from acaciasaddle.forward._admission import expected_response_s
 from acaciasaddle.forward._admission import retry_after_s
 from acaciasaddle.forward._headers import passed_on
 from acaciasaddle.forward._pool import ConnectionPool
@@ -103,6 +105,7 @@
         self._random = random.Random()
         self._samples: list[LoadSample] = []
         self._slot_times = SlotTimes()
+        self._pressure = RankPressure()
         self._reported_busy: dict[str, int] = {}
         self.total_busy: Callable[[], dict[str, int]] = dict
 
@@ -128,7 +131,8 @@
         try:
             work = self._accept(req, terms)
             reply = await self._serve(work)
-        except RefusedError as exc:
+        except RefusedError as raised:
+            exc = _truthful(raised, work)
             reply = self._refusal(exc)
             self._log_request(req, terms, work, reply, reason=exc.message, step=exc.step)
             return reply
@@ -155,7 +159,9 @@
         )
 
     async def _serve(self, work: _Work) -> Reply:
-        self._budget.note_request(work.service.name, now=trio.current_time())
+        now = trio.current_time()
+        self._budget.note_request(work.service.name, now=now)
+        self._pressure.note(work.service.name, work.route.rank, now=now)
         if work.service.keyed and work.terms.key is not None:
             # The load of a key is what callers ask for, served or not.
             self._sample(work, key=work.terms.key)
@@ -196,9 +202,19 @@
         if work.service.keyed and work.terms.key is not None:
             return await self._owner(work, work.terms.key)
         upstreams = self._view.upstreams_of(work.service.name)
-        chosen = self._states.choose(upstreams, tried=work.tried, now=trio.current_time())
+        chosen = self._states.choose(
+            upstreams,
+            tried=work.tried,
+            now=trio.current_time(),
+            expected_s=lambda entry: expected_response_s(
+                slot_s=self._slot_times.of(entry.upstream_id),
+                busy=self._busy_at(entry.upstream_id),
+                slots=entry.slots,
+            ),
+        )
         if chosen is None:
             raise _refused("no upstream is left to try", NO_OWNER_RETRY_S, "choose")
+        self._admit(work, chosen)
         return chosen
 
     async def _owner(self, work: _Work, key: int) -> UpstreamEntry:
@@ -226,25 +242,30 @@
             if scope.cancelled_caught:
                 raise _refused("the key is still moving", NO_OWNER_RETRY_S, "choose")
 
-    def _admit(self, work: _Work, owner: UpstreamEntry) -> None:
-        """Refuse a request that its owner cannot serve in time."""
+    def _admit(self, work: _Work, upstream: UpstreamEntry) -> None:
+        """Refuse a request that its upstream cannot serve in time, or that leaves it to others."""
         now = trio.current_time()
-        busy = self._busy_at(owner.upstream_id)
+        busy = self._busy_at(upstream.upstream_id)
+        slot_s = self._slot_times.of(upstream.upstream_id)
+        route = work.route
+        yields = route.bulky and self._pressure.more_urgent(work.service.name, route.rank)
         seconds = retry_after_s(
-            slot_s=self._slot_times.of(owner.upstream_id),
+            slot_s=slot_s,
             busy=busy,
-            slots=owner.slots,
+            slots=upstream.slots,
             left_s=work.ends_at - now,
+            yields=yields,
         )
         if seconds is not None:
             log.info(
-                "owner too busy",
+                "upstream too busy",
                 request=work.terms.request_id,
-                upstream=owner.upstream_id,
+                upstream=upstream.upstream_id,
                 busy=busy,
-                slot_ms=round(self._slot_times.of(owner.upstream_id) * 1000),
+                slot_ms=round(slot_s * 1000),
+                yields=yields,
             )
-            raise _refused("the owner is too busy", seconds, "choose")
+            raise _refused("the upstream is too busy", seconds, "choose")
 
     def _busy_at(self, upstream_id: str) -> int:
         """Return the requests of all hosts at an upstream, as far as known."""
@@ -466,6 +487,13 @@
     )
 
 
+def _truthful(exc: RefusedError, work: _Work | None) -> RefusedError:
+    """Return a refusal as a failure if an earlier send of the request may have run."""
+    if work is None or work.outcome is Outcome.NOT_RUN or exc.outcome is not Outcome.NOT_RUN:
+        return exc
+    return _failed(exc.message, "retry", work, status=502)
+
+
 def _failed(message: str, step: str, work: _Work, *, status: int) -> RefusedError:
     return RefusedError(
         message,
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Sequence
 
@@ -20,6 +21,11 @@
 MAX_PENALTY_S = 4.0
 SILENT_AFTER = 2
 """Failures in a row after which an upstream is not tried again until its penalty is over."""
+CHOICES = 4
+"""Hosts know alike, and 0.4 s late, which upstreams are free; the best of a few by chance keeps
+them from choosing the same one."""
+TIE_BREAK = 0.1
+"""Upstreams whose expected times differ by less than this part are chosen by chance."""
 REMOTE_FACTOR = 1.15
 """An upstream in another data centre has to be this much better to be chosen."""
 
@@ -76,22 +82,29 @@
         return {name: state.in_flight for name, state in self._states.items() if state.in_flight}
 
     def choose(
-        self, upstreams: Sequence[UpstreamEntry], *, tried: Collection[str], now: float
+        self,
+        upstreams: Sequence[UpstreamEntry],
+        *,
+        tried: Collection[str],
+        now: float,
+        expected_s: Callable[[UpstreamEntry], float],
     ) -> UpstreamEntry | None:
-        """Return the upstream with the shortest expected wait, or ``None`` if none is left."""
+        """Return the best of a few upstreams by chance, or ``None`` if none is left.
+
+        ``expected_s`` returns the expected response time of an upstream.
+        """
         options = [entry for entry in upstreams if entry.upstream_id not in tried]
         options = [e for e in options if not self.of(e.upstream_id).replaced]
         trusted = [e for e in options if self.of(e.upstream_id).avoid_until <= now]
         options = trusted or options
         if not options:
             return None
-        return min(options, key=self._cost)
+        if len(options) > CHOICES:
+            options = self._random.sample(options, CHOICES)
+        return min(options, key=lambda entry: self._cost(entry, expected_s(entry)))
 
-    def _cost(self, entry: UpstreamEntry) -> float:
-        state = self.of(entry.upstream_id)
-        # The random part keeps hosts that know equally little from choosing alike.
-        load = (state.in_flight + 0.5 * self._random.random()) / entry.slots
-        cost = state.seconds * (1.0 + load)
+    def _cost(self, entry: UpstreamEntry, expected_s: float) -> float:
+        cost = expected_s * (1.0 + TIE_BREAK * self._random.random())
         if entry.data_centre != self._data_centre:
             cost *= REMOTE_FACTOR
         return cost * (2.0 if entry.cold_s > 0 else 1.0)
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -243,16 +243,18 @@
             configuration=cfg if needs_configuration else None,
             registry=registry,
             owners=parts,
-            busy=self._full_upstreams(),
+            busy=self._counts_that_matter(),
         )
 
-    def _full_upstreams(self) -> dict[str, int]:
-        """Return the requests at upstreams without a free slot; the others need no care."""
-        upstreams = self._view.upstreams
+    def _counts_that_matter(self) -> dict[str, int]:
+        """Return the requests at upstreams without a free slot, and at those to choose among."""
+        cfg, upstreams = self._view.configuration, self._view.upstreams
+        keyed = {svc.name for svc in cfg.services.values() if svc.keyed} if cfg else set()
         return {
             name: count
             for name, count in self._total_busy.items()
-            if name in upstreams and count >= upstreams[name].slots
+            if (entry := upstreams.get(name)) is not None
+            and (count >= entry.slots or entry.service not in keyed)
         }
 
     def _age(self, at: float | None) -> float:
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -67,7 +67,8 @@
 class State(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """What the coordinator believes. Parts that have not changed are ``None`` or empty.
 
-    Ages are in seconds. ``busy`` lists upstreams whose slots are all taken. The configuration
+    Ages are in seconds. ``busy`` lists upstreams whose slots are all taken, and all
+    upstreams of services without keys. The configuration
     itself is only sent to a host that asks for it: that of a grown deployment takes hundreds of
     kilobytes, and the platform's link is wider than the coordinator's.
     """
