--- /dev/null
+++ b/features/steps/forward_pool_steps.py
@@ -0,0 +1,104 @@
+"""Steps of forward/pool.feature: real connections on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+from features.support.scripted_upstream import ANSWERS
+from features.support.scripted_upstream import ScriptedServer
+
+from acaciasaddle.fleet import UpstreamEntry
+from acaciasaddle.fleet import UpstreamLife
+from acaciasaddle.forward._pool import ConnectionPool
+
+if TYPE_CHECKING:
+    from acaciasaddle.http1 import ClientConnection
+
+Act = Callable[[ConnectionPool, UpstreamEntry], Awaitable[None]]
+
+
+class ConnectionPoolSteps:
+    """Guards against forgotten connections and too many idle ones."""
+
+    @staticmethod
+    @given("a connection pool and an upstream")
+    def pool(context: Any) -> None:
+        context.pool_acts = []
+        context.pool_server = ScriptedServer(answers=["+" + ANSWERS["ok"].lstrip("+")])
+
+    @staticmethod
+    async def _use(conn: ClientConnection) -> None:
+        await conn.exchange(method="GET", target="/", headers=[(b"Host", b"x")])
+
+    @staticmethod
+    @when("a connection was used and rests for {seconds:g} s")
+    def rest(context: Any, seconds: float) -> None:
+        async def act(pool: ConnectionPool, upstream: UpstreamEntry) -> None:
+            conn = await pool.acquire(upstream, fresh=False)
+            await ConnectionPoolSteps._use(conn)
+            pool.release(upstream, conn)
+            await trio.sleep(seconds)
+
+        context.pool_acts.append(act)
+
+    @staticmethod
+    @when("a connection is taken for work that may {kind}")
+    def take(context: Any, kind: str) -> None:
+        async def act(pool: ConnectionPool, upstream: UpstreamEntry) -> None:
+            await ConnectionPoolSteps._use(await pool.acquire(upstream, fresh=kind == "run once"))
+
+        context.pool_acts.append(act)
+
+    @staticmethod
+    @when("{count:d} connections were used at the same time")
+    def many(context: Any, count: int) -> None:
+        async def act(pool: ConnectionPool, upstream: UpstreamEntry) -> None:
+            conns = [await pool.acquire(upstream, fresh=False) for _ in range(count)]
+            for conn in conns:
+                await ConnectionPoolSteps._use(conn)
+                pool.release(upstream, conn)
+
+        context.pool_acts.append(act)
+
+    @staticmethod
+    def _play(context: Any) -> ConnectionPool:
+        async def main() -> ConnectionPool:
+            acts: list[Act] = context.pool_acts
+            pool = ConnectionPool()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(context.pool_server.run)
+                upstream = UpstreamEntry(
+                    life=UpstreamLife(upstream_id="u1", started_ms=1),
+                    service="s",
+                    address=context.pool_server.address,
+                    data_centre="east",
+                    slots=2,
+                    draining=False,
+                    cold_s=0.0,
+                )
+                with trio.fail_after(5):
+                    for act in acts:
+                        await act(pool, upstream)
+                nursery.cancel_scope.cancel()
+            return pool
+
+        return trio.run(main)
+
+    @staticmethod
+    @then("the upstream has seen {count:d} connections")
+    def seen(context: Any, count: int) -> None:
+        ConnectionPoolSteps._play(context)
+        assert context.pool_server.connections == count, context.pool_server.connections
+
+    @staticmethod
+    @then("{count:d} idle connections are kept")
+    def kept(context: Any, count: int) -> None:
+        pool = ConnectionPoolSteps._play(context)
+        assert pool.idle_connections == count, pool.idle_connections
--- a/src/acaciasaddle/config/_load.py
+++ b/src/acaciasaddle/config/_load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import re
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -19,6 +18,7 @@
 from acaciasaddle.config._types import Rules
 from acaciasaddle.config._types import Settings
 from acaciasaddle.errors import ConfigError
+from acaciasaddle.json_comments import without_comment_lines
 
 if TYPE_CHECKING:
     import os
@@ -30,7 +30,6 @@
 MAX_FILE_BYTES = 16 * 1024 * 1024
 """An inventory of 1,000 upstreams takes about 150 KB."""
 
-_COMMENT_LINE = re.compile(r"^[ \t]*//.*$", re.MULTILINE)
 _ADAPTERS: dict[type, TypeAdapter[Any]] = {
     cls: TypeAdapter(cls) for cls in (Settings, Inventory, Rules)
 }
@@ -152,9 +151,8 @@
         raise _error([f"{source}: not UTF-8 at byte {exc.start}"], source) from exc
     try:
         # json5 is written in Python and takes 80 ms for 60 upstreams. Most files are plain JSON
-        # but for whole lines of comments. Such a line is never part of a string, since strings
-        # of JSON do not span lines; anything else is left to json5.
-        return json.loads(_COMMENT_LINE.sub("", text), object_pairs_hook=_unique)
+        # but for whole lines of comments; anything else is left to json5.
+        return json.loads(without_comment_lines(text), object_pairs_hook=_unique)
     except ValueError:
         pass
     except RecursionError as exc:
--- a/src/acaciasaddle/node/_settings.py
+++ b/src/acaciasaddle/node/_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Annotated
@@ -11,12 +10,11 @@
 import msgspec
 
 from acaciasaddle.errors import ConfigError
+from acaciasaddle.json_comments import without_comment_lines
 
 if TYPE_CHECKING:
     import os
 
-_COMMENT_LINE = re.compile(r"^[ \t]*//.*$", re.MULTILINE)
-
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 """``ip:port`` with an IP number."""
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
@@ -25,7 +23,6 @@
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds that the platform promises or demands, in seconds unless named otherwise."""
 
-    drain_s: Seconds = 2.0
     grace_s: Seconds = 6.0
     max_lease_s: Seconds = 10.0
     repeat_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
@@ -89,7 +86,7 @@
     source = str(path)
     try:
         text = Path(path).read_text(encoding="utf-8")
-        return msgspec.json.decode(_COMMENT_LINE.sub("", text), type=NodeSettings)
+        return msgspec.json.decode(without_comment_lines(text), type=NodeSettings)
     except OSError as exc:
         reason = exc.strerror or str(exc)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
