Ask the owner of a key again when it turns a request away though it has room

Change: with free slots by all hosts' counts the owner is asked again, within the shared budget. Ruled out: asking a full owner again, which would only spend the budget. Tests: three scenarios of forward/forwarder.feature, the first of which failed before.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -99,6 +99,26 @@
     Then the caller gets 503 ""
     And upstream "u2" saw 0 connections
 
+  Scenario: an owner that turns a request away though it has room is asked again
+    Given upstream "u1" of the keyed service answers "full, full, ok"
+    And "u1" owns all keys
+    When a lookup with key 77 is forwarded
+    Then the caller gets 200 "done"
+
+  Scenario: an owner without room is not asked again
+    Given upstream "u1" of the keyed service answers "full, ok"
+    And "u1" owns all keys
+    And "u1" has 2 requests of other hosts
+    When a lookup with key 77 is forwarded
+    Then the caller gets 503 ""
+
+  Scenario: an owner is not asked again without budget
+    Given upstream "u1" of the keyed service answers "full, ok"
+    And "u1" owns all keys
+    And the budget of repeats is spent
+    When a lookup with key 77 is forwarded
+    Then the caller gets 503 ""
+
   Scenario: a request waits for a key that moves
     Given upstream "u1" of the keyed service answers "ok"
     And all keys move to "u1" for 0.1 s
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -114,6 +114,11 @@
     def spent(context: Any) -> None:
         context.slack = 0.0
 
+    @staticmethod
+    @given('"{name}" has {count:d} requests of other hosts')
+    def busy(context: Any, name: str, count: int) -> None:
+        context.total_busy = {name: count}
+
     @staticmethod
     @given('"{name}" owns all keys')
     def owns(context: Any, name: str) -> None:
@@ -195,6 +200,7 @@
                     budget=RepeatBudget(terms=terms, hosts=lambda: 1),
                     data_centre="east",
                 )
+                forwarder.total_busy = lambda: getattr(context, "total_busy", {})
                 # The choice among equal upstreams is random; prefer them in order here.
                 for index, name in enumerate(sorted(entries)):
                     forwarder._states.of(name).seconds = 0.01 * 10**index
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -391,19 +391,33 @@
         if status in (429, 503):
             state.full(now, state.seconds)
         wait_s = state.seconds
-        can_move = not keyed and len(work.tried) < work.route.max_upstreams
-        if state.replaced and keyed:
+        if keyed:
+            may_resend = await self._may_ask_owner_again(work, upstream, status)
+        else:
+            may_resend = len(work.tried) < work.route.max_upstreams
+        if work.outcome is not Outcome.NOT_RUN:
+            raise _failed("an earlier send may have run", "send", work, status=502)
+        if not may_resend or not self._take_budget(work):
+            raise _refused("the upstream is full", wait_s, "send")
+
+    async def _may_ask_owner_again(self, work: _Work, owner: UpstreamEntry, status: int) -> bool:
+        """Whether the owner of a key may run a request that it has refused; waits a moment.
+
+        An owner that refuses though it has free slots fails at random, so that the next send is as
+        likely to succeed as the first.
+        """
+        if self._states.of(owner.upstream_id).replaced:
             raise _refused("the owner has ended", NO_OWNER_RETRY_S, "send")
-        if status == 421 and keyed:
+        if status == 421:
             # The key has probably moved; the news of it is on its way.
             changed = self._view.changed
             with trio.move_on_after(OWNER_WAIT_S / 2):
                 await changed.wait()
-            can_move = True
-        if work.outcome is not Outcome.NOT_RUN:
-            raise _failed("an earlier send may have run", "send", work, status=502)
-        if not can_move or not self._take_budget(work):
-            raise _refused("the upstream is full", wait_s, "send")
+            return True
+        if self._busy_at(owner.upstream_id) >= owner.slots or work.sends >= MAX_SENDS:
+            return False
+        await trio.sleep(RESEND_PAUSE_S)
+        return True
 
     def _may_resend(self, work: _Work, upstream: UpstreamEntry) -> bool:
         if not work.repeatable or work.sends >= MAX_SENDS:
