Grant keys for the longest time before a planned stop

Cause: a coordinator that was stopped by plan within 0.9 s of the store's failing had granted keys for 3.5 s, gave no more orders, and nobody could take the role before the store was back, so all keys lapsed. Tests: the new scenario outline failed at 0.05 and 0.3 s before, passes at all four times after.

--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -55,6 +55,22 @@
     And all keys are owned
     And keys were without an owner for at most 0 s
 
+  Scenario Outline: the coordinator is stopped by plan <pause> s after the store went down
+    When after 1 s the store is down for all hosts
+    And after <pause> s the coordinator is stopped by plan
+    And after 7 s the store is up
+    And the key fleet runs for 4 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 0 s
+
+    Examples:
+      | pause |
+      | 0.05  |
+      | 0.3   |
+      | 0.8   |
+      | 1.2   |
+
   Scenario: another host takes over when the store turns the coordinator away
     When after 1 s the store is down for the coordinator
     And the key fleet runs for 5 s
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+import trio
 from behave import given
 from behave import then
 from behave import when
@@ -68,6 +69,16 @@
 
         context.script.append((pause, act))
 
+    @staticmethod
+    @when("after {pause:g} s the coordinator is stopped by plan")
+    def stop(context: Any, pause: float) -> None:
+        def act() -> None:
+            leader = context.key_fleet.leader()
+            context.first_leader = leader.name
+            trio.lowlevel.spawn_system_task(leader.coordinator.stop)
+
+        context.script.append((pause, act))
+
     @staticmethod
     @when("after {pause:g} s the store is down for all hosts")
     def store_down(context: Any, pause: float) -> None:
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -67,6 +67,8 @@
 """Failures for this long, two orders in a row, make an upstream lost."""
 STORE_TROUBLE_S = 0.9
 """Without a successful write for this long, renewals ask for the longest lease."""
+STOP_RENEWAL_S = 0.5
+"""Time for the last renewals of a host that stops; an upstream answers within some milliseconds."""
 PROBE_INTERVAL_S = 1.0
 MAX_LOST_SHARE = 0.5
 """A host to which more of the upstreams are lost at the same time gives the role back."""
@@ -165,10 +167,17 @@
                 await self._lead()
 
     async def stop(self) -> None:
-        """Give the role back, so that another host need not wait for it to lapse."""
+        """Give the role back, so that another host need not wait for it to lapse.
+
+        Keys are granted for the longest time first: with the store out of reach nobody can take the
+        role and renew them.
+        """
         self._stopping = True
         if not self._role.taken:
             return
+        with trio.move_on_after(STOP_RENEWAL_S):
+            async with trio.open_nursery() as nursery:
+                self._start_renewals(nursery)
         self._role.taken = False
         try:
             await self._role.give_back()
@@ -458,7 +467,7 @@
                 "the role may have lapsed", step="coordinator.grant", peer=span.owner.address
             )
         trouble = self._role.since_write_s > STORE_TROUBLE_S
-        lease_s = self._max_lease_s if trouble else KEY_LEASE_S
+        lease_s = self._max_lease_s if trouble or self._stopping else KEY_LEASE_S
         tenure = self._tenure(span.owner)
         before = tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
         try:
@@ -482,18 +491,22 @@
 
     async def _renew_leases(self, nursery: trio.Nursery) -> None:
         while True:
-            by_owner: dict[Owner, list[tuple[str, Span]]] = {}
-            for service, owners in self._owners.items():
-                for span in owners.spans:
-                    if not span.moving:
-                        by_owner.setdefault(span.owner, []).append((service, span))
-            for owner, spans in by_owner.items():
-                tenure = self._tenure(owner)
-                if not tenure.renewing and not tenure.lost:
-                    tenure.renewing = True
-                    nursery.start_soon(self._renew, owner, tenure, spans)
+            self._start_renewals(nursery)
             await trio.sleep(KEY_RENEWAL_S)
 
+    def _start_renewals(self, nursery: trio.Nursery) -> None:
+        """Renew the leases of all upstreams whose last renewal has ended, each in a task."""
+        by_owner: dict[Owner, list[tuple[str, Span]]] = {}
+        for service, owners in self._owners.items():
+            for span in owners.spans:
+                if not span.moving:
+                    by_owner.setdefault(span.owner, []).append((service, span))
+        for owner, spans in by_owner.items():
+            tenure = self._tenure(owner)
+            if not tenure.renewing and not tenure.lost:
+                tenure.renewing = True
+                nursery.start_soon(self._renew, owner, tenure, spans)
+
     async def _renew(self, owner: Owner, tenure: Tenure, spans: list[tuple[str, Span]]) -> None:
         try:
             for service, span in spans:
