--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -157,3 +157,22 @@
     Given upstream "u1" of the open service answers "ok"
     When a request for an unknown path is forwarded
     Then the caller gets 404 ""
+
+  Scenario Outline: each refusal or failure has one line with its reason, and a counter: <reason>
+    Given <upstream>
+    And <state>
+    When <request>
+    Then the log and the counters say "<reason>" once
+
+    Examples:
+      | upstream                                            | state                          | request                            | reason                           |
+      | no configuration                                    | the budget of repeats is spent | a lookup is forwarded              | no configuration is known yet    |
+      | upstream "u1" of the open service answers "ok"      | the budget of repeats is spent | a request for an unknown path is forwarded | no route matches         |
+      | upstream "u1" of the keyed service answers "ok"     | the budget of repeats is spent | a lookup with key 77 is forwarded  | the key has no owner now         |
+      | upstream "u1" of the keyed service answers "ok"     | all keys move to "u1" for 0.9 s | a lookup with key 77 is forwarded  | the key is still moving          |
+      | upstream "u1" of the keyed service answers "replaced" | "u1" owns all keys           | a lookup with key 77 is forwarded  | the owner has ended              |
+      | upstream "u1" of the open service answers "full"    | the budget of repeats is spent | a lookup is forwarded              | the upstream is full             |
+      | upstream "u1" of the open service answers "ok"      | "u1" has 999 requests of other hosts | a lookup is forwarded        | the upstream is too busy         |
+      | upstream "u1" of the open service answers "reset"   | the budget of repeats is spent | a booking is forwarded             | the upstream did not answer      |
+      | upstream "u1" of the open service answers "silent"  | the budget of repeats is spent | a booking is forwarded             | no response in time              |
+      | an unreachable upstream "u1" of the keyed service   | "u1" owns all keys             | a lookup with key 77 is forwarded | the owner is silent |
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from contextlib import suppress
 from typing import Any
 
@@ -11,6 +12,7 @@
 from behave import when
 from features.support.scripted_upstream import ANSWERS
 from features.support.scripted_upstream import ScriptedServer
+from structlog.testing import capture_logs
 
 from acaciasaddle.clock import TrioClock
 from acaciasaddle.fleet import FleetView
@@ -25,6 +27,7 @@
 from acaciasaddle.keyspace import KeyRange
 from acaciasaddle.keyspace import Owner
 from acaciasaddle.keyspace import Span
+from acaciasaddle.observe import NullMetrics
 from acaciasaddle.platform import PlatformDialect
 from acaciasaddle.routing import CallerLimits
 from acaciasaddle.routing import Configuration
@@ -89,6 +92,16 @@
     )
 
 
+class CountingMetrics(NullMetrics):
+    """Keeps the counters."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+
+    def count(self, name: str, value: int = 1) -> None:
+        self.counters[name] += value
+
+
 class ForwarderSetUp:
     """Describes upstreams, owners and the budget."""
 
@@ -199,6 +212,7 @@
                     dialect=PlatformDialect(),
                     budget=RepeatBudget(terms=terms, hosts=lambda: 1),
                     data_centre="east",
+                    metrics=context.metrics,
                 )
                 forwarder.total_busy = lambda: getattr(context, "total_busy", {})
                 # The choice among equal upstreams is random; prefer them in order here.
@@ -212,7 +226,9 @@
                     await trio.sleep(0.02)
                 nursery.cancel_scope.cancel()
 
-        trio.run(main)
+        context.metrics = CountingMetrics()
+        with capture_logs() as context.log_lines:
+            trio.run(main)
 
     @staticmethod
     async def _set_owner(
@@ -298,3 +314,17 @@
     def absent(context: Any, name: str) -> None:
         with suppress(KeyError):
             raise AssertionError(ForwarderOutcome._headers(context)[name])
+
+
+class ForwarderLogs:
+    """Guards against a refusal that leaves no trace, or several."""
+
+    @staticmethod
+    @then('the log and the counters say "{reason}" once')
+    def traced(context: Any, reason: str) -> None:
+        lines = [line for line in context.log_lines if line["event"] == "request"]
+        told = [line for line in lines if line["reason"] == reason]
+        assert len(told) == 1, lines
+        assert told[0]["request"] and told[0]["step"], told
+        counter = f"forward.refused.{reason.replace(' ', '_')}"
+        assert context.metrics.counters[counter] == 1, context.metrics.counters
