--- a/features/support/shared_service.py
+++ b/features/support/shared_service.py
@@ -65,17 +65,24 @@
             self.arrived[rank] += 1
             pressure.note(SERVICE, rank, now=now)
             chosen = min(rng.sample(fleet, CHOICES), key=self._expected)
-            yields = self.yields and rank == BULKY_RANK and pressure.more_urgent(SERVICE, rank)
-            refused = retry_after_s(
-                slot_s=self.work_s,
-                busy=chosen.known,
-                slots=self.slots,
-                left_s=DEADLINES_S[rank],
-                yields=yields,
-            )
-            if refused is None:
+            if not self.refuses(chosen, rank, now, pressure):
                 self._serve(chosen, rank, now, self.work_s * rng.uniform(0.5, 1.5))
 
+    def refuses(self, chosen: Upstream, rank: int, now: float, pressure: RankPressure) -> bool:
+        """Whether a request is refused at its host; this is the product's policy."""
+        yields = self.yields and rank == BULKY_RANK and pressure.more_urgent(SERVICE, rank)
+        seconds = retry_after_s(
+            slot_s=self.work_s,
+            busy=chosen.known,
+            slots=self.slots,
+            left_s=DEADLINES_S[rank],
+            yields=yields,
+        )
+        return seconds is not None
+
+    def shed(self, rank: int, now: float) -> None:
+        """Note that an upstream's queue was full."""
+
     def part(self, rank: int) -> float:
         """Return the part of the requests of a rank that were served in time."""
         return self.in_time[rank] / self.arrived[rank]
@@ -85,6 +92,7 @@
 
     def _serve(self, upstream: Upstream, rank: int, now: float, work_s: float) -> None:
         if upstream.requests(now) >= self.slots + self.queue:
+            self.shed(rank, now)
             return
         start = max(now, heapq.heappop(upstream.free_at))
         if start > now + DEADLINES_S[rank]:
