Tell upstreams with one address apart when moves are planned

Cause: the heap of targets compared owners when utilisation and address were the same, as for two lives of an upstream at one address; owners have no order, so the coordinator's process would end. The new scenario failed with TypeError.

--- a/features/keyspace/balance.feature
+++ b/features/keyspace/balance.feature
@@ -27,6 +27,14 @@
     Then "b" holds no planned keys
     And no upstream has more than 1.35 times the mean load
 
+  Scenario: two lives of an upstream at one address are told apart
+    Given key owners "a 0-65535"
+    And 400 requests for evenly spread keys
+    And upstreams "b" and "c" without keys at one address
+    When the keys are balanced for 6 rounds
+    Then "b" holds keys
+    And "c" holds keys
+
   Scenario: a level load moves nothing
     Given key owners "a 0-32767, b 32768-65535"
     And 400 requests for evenly spread keys
--- a/features/steps/keyspace_balance_steps.py
+++ b/features/steps/keyspace_balance_steps.py
@@ -19,9 +19,18 @@
 from acaciasaddle.keyspace import join_spans
 from acaciasaddle.keyspace import plan_moves
 
+_addresses: dict[str, str] = {}
+"""Addresses of upstreams that share one with another."""
+
 
 def _owner(name: str) -> Owner:
-    return Owner(life=UpstreamLife(upstream_id=name, started_ms=1), address=f"{name}:1")
+    return Owner(
+        life=UpstreamLife(upstream_id=name, started_ms=1),
+        address=_addresses.get(name, f"{name}:1"),
+    )
+
+
+_addresses: dict[str, str] = {}
 
 
 def _apply(owners: KeyMap, moves: list[Any]) -> KeyMap:
@@ -67,6 +76,14 @@
     def joined(context: Any, name: str) -> None:
         context.capacities[name] = 2.0
 
+    @staticmethod
+    @given('upstreams "{one}" and "{other}" without keys at one address')
+    def same_address(context: Any, one: str, other: str) -> None:
+        _addresses[other] = f"{one}:1"
+        context.add_cleanup(_addresses.clear)
+        for name in (one, other):
+            context.capacities[name] = 2.0
+
     @staticmethod
     @given('the keys of "{name}" are moving')
     def moving(context: Any, name: str) -> None:
--- a/src/acaciasaddle/keyspace/_level.py
+++ b/src/acaciasaddle/keyspace/_level.py
@@ -75,8 +75,9 @@
     mean: float = 0.0
     settled: dict[Owner, list[KeyRange]] = field(default_factory=dict)
     moving: set[Owner] = field(default_factory=set)
-    targets: list[tuple[float, str, Owner]] = field(default_factory=list)
-    """A heap of owners by their utilisation; only that of the first ones is up to date."""
+    targets: list[tuple[float, int, Owner]] = field(default_factory=list)
+    """A heap of owners by their utilisation, and by a number, since owners have no order. Only the
+    utilisation of the first ones is up to date."""
     moves: list[Move] = field(default_factory=list)
 
     def run(self) -> list[Move]:
@@ -89,7 +90,9 @@
             self.moving.add(span.owner)
             if span.previous is not None:
                 self.moving.add(span.previous)
-        self.targets = [(loads.use(owner), owner.address, owner) for owner in loads.total]
+        self.targets = [
+            (loads.use(owner), number, owner) for number, owner in enumerate(loads.total)
+        ]
         heapq.heapify(self.targets)
         even = 0
         for source in sorted(loads.total, key=loads.use, reverse=True):
@@ -165,7 +168,8 @@
 
     def _move(self, keys: KeyRange, source: Owner, target: Owner, *, parts: int) -> None:
         self.loads.move(keys, source, target)
-        heapq.heapreplace(self.targets, (self.loads.use(target), target.address, target))
+        number = self.targets[0][1]
+        heapq.heapreplace(self.targets, (self.loads.use(target), number, target))
         for part in split(keys, parts, self.load):
             self.moves.append(Move(keys=part, source=source, target=target))
         self.settled[source] = [
