--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -100,3 +100,17 @@
     Then no key had two owners
     And all keys are owned
     And "u3" holds no key
+
+  Scenario: the strongest host takes the role at the start
+    Given a key fleet of 6 upstreams whose hosts leave a free role for "0.5, 0, 0.5" s
+    When the key fleet runs for 1 s
+    Then host "h2" has the role
+    And all keys are owned
+
+  Scenario: keys stay owned when a weak host takes over from a strong one
+    Given a key fleet of 6 upstreams whose hosts leave a free role for "0.5, 0, 0.5" s
+    When after 1 s the coordinator is killed
+    And the key fleet runs for 8 s
+    Then another host has the role
+    And no key had two owners
+    And keys were without an owner for at most 0 s
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -25,6 +25,14 @@
         context.script = []
         context.first_leader = ""
 
+    @staticmethod
+    @given('a key fleet of 6 upstreams whose hosts leave a free role for "{delays}" s')
+    def delayed(context: Any, delays: str) -> None:
+        seconds = [float(text) for text in delays.split(", ")]
+        context.key_fleet = KeyFleet(hosts=len(seconds), upstreams=6, delays_s=seconds)
+        context.script = []
+        context.first_leader = ""
+
     @staticmethod
     @when('after {pause:g} s upstream "{name}" drains')
     def drain(context: Any, pause: float, name: str) -> None:
@@ -179,3 +187,8 @@
     @then("another host has the role")
     def other(context: Any) -> None:
         assert context.last_leader not in ("", context.first_leader), context.last_leader
+
+    @staticmethod
+    @then('host "{name}" has the role')
+    def led_by(context: Any, name: str) -> None:
+        assert context.last_leader == name, context.last_leader
--- a/features/support/key_fleet.py
+++ b/features/support/key_fleet.py
@@ -33,6 +33,8 @@
 from acaciasaddle.routing import Service
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from acaciasaddle.keyspace import KeyRange
     from acaciasaddle.keyspace import Owner
 
@@ -151,14 +153,16 @@
 class KeyFleet:
     """Upstreams and hosts; records where two upstreams hold a key at the same time."""
 
-    def __init__(self, *, hosts: int, upstreams: int) -> None:
+    def __init__(self, *, hosts: int, upstreams: int, delays_s: Sequence[float] = ()) -> None:
+        """``delays_s``: time for which each host leaves a free role to others; 0 if not given."""
         self.store = TableStore()
         self.grants: list[tuple[str, KeyRange, str]] = []
         self.violations: list[str] = []
         self.unowned_s = 0.0
         self._started = 0
         self.servers = [self._server(f"u{index + 1}") for index in range(upstreams)]
-        self.hosts = [self._host(f"h{index + 1}") for index in range(hosts)]
+        delays = [*delays_s, *[0.0] * hosts]
+        self.hosts = [self._host(f"h{index + 1}", delays[index]) for index in range(hosts)]
 
     def _server(self, name: str) -> KeyServer:
         self._started += 1
@@ -175,7 +179,7 @@
             )
         )
 
-    def _host(self, name: str) -> Host:
+    def _host(self, name: str, takeover_delay_s: float) -> Host:
         clock = TrioClock()
         view = FleetView(clock=clock)
         orders = ServerOrders(self)
@@ -189,6 +193,7 @@
             clock=clock,
             load=LoadBook(),
             max_lease_s=MAX_LEASE_S,
+            takeover_delay_s=takeover_delay_s,
         )
         return Host(name=name, coordinator=coordinator, orders=orders, table=table, view=view)
 
