--- a/features/explain/logs.feature
+++ b/features/explain/logs.feature
@@ -26,3 +26,17 @@
   Scenario: a request that no log has
     When request "none" is explained from the logs "late-node-1"
     Then the explanation fails with "no line of request 'none' in 3 lines"
+
+  Scenario Outline: lines of a day as it was played (incident inc-879f of the bands site)
+    When request "<request>" is explained from the logs "<log>"
+    Then the explanation has the reason "<reason>"
+    And the explanation shows "<event>" with "<text>"
+    And the explanation does not show "upstream gone"
+
+    Examples:
+      | request          | log            | reason                      | event                | text                             |
+      | 99e049c9faebade3 | played-refused | the key has no owner now    | source lost          | source=owners                    |
+      | 99e049c9faebade3 | played-refused | the key has no owner now    | keys move            | fence=294                        |
+      | b1b2a87930d48bbe | played-unknown | the upstream did not answer | send failed          | connection reset                 |
+      | 133a790cab8685a7 | played-late    |                             | rejected by upstream | status=421                       |
+      | 133a790cab8685a7 | played-late    |                             | keys move            | target=i-a7bccb0f9b              |
--- a/src/acaciasaddle/explain/_story.py
+++ b/src/acaciasaddle/explain/_story.py
@@ -17,6 +17,8 @@
 MOVE_EVENT = "[coordinator] keys move"
 BELIEF_LINES = 6
 """Lines about an upstream or a host's dependencies that are shown before the outcome."""
+CLOCK_SKEW_S = 2.0
+"""Lines of other hosts count as earlier than the outcome up to this much after it."""
 UPSTREAM_EVENTS = ("[fleet]", "[coordinator] upstream", "[forward] send failed")
 DEPENDENCY_EVENTS = ("[watch]", "[links]", "[node]", "[coordinator] role")
 
@@ -61,6 +63,7 @@
             lines,
             lambda line: (
                 line.event.startswith(UPSTREAM_EVENTS)
+                and line.at <= last.at + CLOCK_SKEW_S
                 and line.fields.get("upstream") in upstream_ids
                 and line.fields.get("request") != request
             ),
