Take over an unchecked upstream only by the row that the takeover was decided on

Cause: a successor that was paused for longer than its holder waits was replaced as the successor; on waking it decided by its old row, read the new one, and took the upstream with the new row's version. Traced by the records of each host: the first run's record went to the new successor only. Ruled out: the pause allowance (a longer one only moves the moment), and the vouching (the former holder had stopped in time). Change: after reading the table again the takeover goes on only if the row is the same.

--- a/features/matrix/trials.feature
+++ b/features/matrix/trials.feature
@@ -27,6 +27,7 @@
       | once             | host paused 1 s                  | host sends work                | 2      |
       | once             | host replaced by an empty one    | host receives call KeepRecords | 0      |
       | once             | host killed, store down          | host sends grant               | 3      |
+      | callers gone     | host paused 4 s                  | upstream receives cancel       | 0      |
       | lookups          | upstream frozen 3 s              | upstream receives grant        | 0      |
       | lookups          | connections silent for good      | upstream receives work         | 1      |
       | uploads          | upstream killed and restarted    | host receives WorkData         | 4      |
@@ -34,3 +35,8 @@
       | two operators    | store slow                       | host before write of config    | 0      |
       | graceful stop    | store down                       | host receives call Handover    | 0      |
       | two data centres | data centre cut from both        | host sends OpenWork            | 2      |
+
+  Scenario: a successor that was paused while it was replaced does not take over with old records
+    When the matrix scenario "callers gone" runs with seed 3 and "host paused 4 s" at "upstream receives cancel" number 0
+    Then the matrix fault struck
+    And the matrix checker reports nothing
--- a/src/acaciasaddle/ownership/_authority.py
+++ b/src/acaciasaddle/ownership/_authority.py
@@ -294,7 +294,7 @@
         self._ctx.hub.withhold_vouch(row.holder)
         self._untold.setdefault(row.holder, set()).add(info.id)
         if not info.entry.checks_orders:
-            await self._take_unchecked(info, row.holder, stopped_at, handed=handed)
+            await self._take_unchecked(info, row, stopped_at, handed=handed)
             return
         held = HeldUpstream(
             info=info,
@@ -311,15 +311,20 @@
             nursery.start_soon(self._hold, held)
 
     async def _take_unchecked(
-        self, info: UpstreamInfo, holder: str, stopped_at: float, *, handed: bool
+        self, info: UpstreamInfo, row: UpstreamRow, stopped_at: float, *, handed: bool
     ) -> None:
         """Take over an upstream that refuses nobody: only the table can decide."""
         rules = self._ctx.rules
         pause = rules.pause_allowance_s if rules and not handed else 0.0
         await trio.sleep(max(stopped_at + pause - self._ctx.clock.now(), 0.0))
-        term = await self._take_row(info)
+        term = await self._take_row(info, decided_on=row)
+        if term is None:
+            # The holder has replaced this host, which was paused and lacks the records since then.
+            log.info("takeover given up, the row has changed", upstream=str(info.id))
+            self._forget_takeover(row.holder, info.id)
+            return
         self._stopped_for_sure.add(info.id)
-        await self._announce(holder, info.id, term)
+        await self._announce(row.holder, info.id, term)
 
     async def _announce(self, holder: str, upstream: UpstreamId, term: int) -> None:
         """Tell everyone that routes to the upstream, the former holder first."""
@@ -343,16 +348,27 @@
             if holder not in self._ctx.members.live():
                 return
             await trio.sleep(OBSERVE_STEP_S)
+        self._forget_takeover(holder, upstream)
+
+    def _forget_takeover(self, holder: str, upstream: UpstreamId) -> None:
+        """Vouch for a former holder again once it knows of all takeovers."""
         self._untold[holder].discard(upstream)
         if not self._untold[holder]:
             self._ctx.hub.restore_vouch(holder)
 
-    async def _take_row(self, info: UpstreamInfo) -> int:
-        """Become the holder through the table; returns the term. Raises ``PlatformError``."""
+    async def _take_row(
+        self, info: UpstreamInfo, *, decided_on: UpstreamRow | None = None
+    ) -> int | None:
+        """Become the holder through the table. Raises ``PlatformError``.
+
+        Returns the term, or ``None`` if the row is not the one that the takeover was decided on.
+        """
         mirror = self._ctx.mirror
         await mirror.refresh()
         old = mirror.upstream_row(info.id)
         assert old is not None
+        if decided_on is not None and old != decided_on:
+            return None
         row = UpstreamRow(
             holder=self._ctx.member, successor="", term=old.term + 2, health=old.health
         )
