--- a/src/acaciasaddle/keyspace/_level.py
+++ b/src/acaciasaddle/keyspace/_level.py
@@ -31,17 +31,19 @@
 MAX_MOVES = 6
 """Moves for balance in one round; each one stops its keys for a round trip or two."""
 MAX_FLOOD_SHARE = 0.25
-"""Moves away from flooded upstreams in one round, in parts of the number of upstreams."""
+"""Moves away from flooded upstreams in one round, in parts of the number of upstreams. Their
+releases and grants go on in the next rounds, so one round need not carry all."""
 IMBALANCE = 0.25
 """Difference of utilisation, in parts of the mean, that is worth a move."""
 MIN_EXCESS = 2.0
 MIN_LACK = 3.0
-"""An upstream with fewer standard deviations of its number of samples too many or too few has
-them by chance."""
+"""An upstream with fewer standard deviations of its number of samples too many, or too few, has
+them by chance: of 260 upstreams, six are above the first and none is below the second."""
 FLOOD_FACTOR = 1.6
-"""An upstream with this many times the mean utilisation is flooded, ..."""
 FLOOD_DEVIATIONS = 4.0
-"""... if its excess is also beyond this many standard deviations of its number of samples."""
+"""An upstream is flooded with this many times the mean utilisation, and an excess of this many
+standard deviations of its number of samples. At half of their slots, upstreams with 1.6 times the
+mean are nearly full."""
 MAX_SPANS = 12
 """An upstream with this many spans gives away whole spans only, unless it is flooded."""
 MAX_ALL_SPANS = 1_200
