Lead hosts that the store turns away to the new coordinator

When the role moves while the store turns some hosts away, they serve on old owners until the store answers. Ruled out: reading the store more often (refused calls are priced and help nobody), a relay of beliefs by other hosts (a second hop for every change).

The coordinator tells linked hosts each other's addresses. A host without a link asks one of them, which answers with the coordinator's member, address and version of the role. A state carries the member too, so that a host which reaches the coordinator by chance knows whom it follows. A former coordinator that hears of a later version gives up the role, and never writes on a version that is another host's.

Before: links/takeover.feature 2 of 3 scenarios failed ("the host is not linked"); with the check of the holder switched off both scenarios of the lost role failed. After: all pass.

--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -24,7 +24,7 @@
 from acaciasaddle.links._changes import OwnersLog
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._changes import apply_part
-from acaciasaddle.links._messages import STATES
+from acaciasaddle.links._messages import ANSWERS
 from acaciasaddle.links._messages import FrameStream
 from acaciasaddle.links._messages import State
 from acaciasaddle.routing import CallerLimits
@@ -37,6 +37,7 @@
 
 def _state(owners: list[OwnersPart]) -> State:
     return State(
+        member="h0@1",
         role_version=1,
         role_age_s=0.1,
         hosts=70,
@@ -47,6 +48,7 @@
         registry=None,
         owners=owners,
         busy={},
+        peers=[],
     )
 
 
@@ -190,7 +192,7 @@
             frames = FrameStream(stream=stream, peer="p")
             await frames.send(context.sent_state)
             context.sent_bytes = stream.sent
-            context.received_state = await frames.receive(STATES)
+            context.received_state = await frames.receive(ANSWERS)
 
         trio.run(main)
 
@@ -209,8 +211,9 @@
         self.role_version = 1
         self.role_age_s = 0.1
         self.coordinator_address = ""
+        self.holder = "h0@1"
 
-    def note_role(self, *, version: int, age_s: float) -> None:
+    def note_role(self, *, member: str, address: str, version: int, age_s: float) -> None:
         """Nothing depends on it here."""
 
 
--- /dev/null
+++ b/features/steps/links_takeover_steps.py
@@ -0,0 +1,226 @@
+"""Steps of links/takeover.feature."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from behave import given
+from behave import then
+from behave import when
+from trio.testing import MockClock
+
+from acaciasaddle.clock import TrioClock
+from acaciasaddle.emulator._store import MemoryTable
+from acaciasaddle.emulator._store import StoreState
+from acaciasaddle.emulator._store import TableStore
+from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.fleet import FleetView
+from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.keyspace import Coordinator
+from acaciasaddle.keyspace import LoadBook
+from acaciasaddle.keyspace._role import COORDINATOR_KEY
+from acaciasaddle.keyspace._role import ROLE_LEASE_S
+from acaciasaddle.keyspace._role import TAKEOVER_S
+from acaciasaddle.keyspace._role import CoordinatorRole
+from acaciasaddle.links import Links
+from acaciasaddle.routing import CallerLimits
+from acaciasaddle.routing import Configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+LINKED_WITHIN_S = 4.0
+TAKEOVER_WITHIN_S = 4.0
+LATER_S = 60.0
+"""Time for which the hosts other than the first leave a free role to others at the start."""
+
+
+async def _free_port() -> int:
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port: int = listener.socket.getsockname()[1]
+    await listener.aclose()
+    return port
+
+
+@dataclass(kw_only=True)
+class _Host:
+    """A coordinator and its links, with a table of its own over the shared store."""
+
+    coordinator: Coordinator
+    links: Links
+    table: MemoryTable
+    view: FleetView
+
+    @classmethod
+    async def make(cls, name: str, store: TableStore) -> _Host:
+        clock = TrioClock(wall_offset=0.0)
+        view = FleetView(clock=clock)
+        view.apply_configuration(
+            Configuration(version=1, routes=(), services={}, limits=CallerLimits())
+        )
+        view.apply_registry(RegistryChange(revision=1, complete=True, entries={}))
+        table = MemoryTable(store=store)
+        address = f"127.0.0.1:{await _free_port()}"
+        orders: Any = None
+        load = LoadBook()
+        coordinator = Coordinator(
+            member=f"{name}@1",
+            address=address,
+            view=view,
+            table=table,
+            orders=orders,
+            clock=clock,
+            load=load,
+            max_lease_s=10.0,
+            takeover_delay_s=0.0 if name == "h1" else LATER_S,
+        )
+        links = Links(
+            host_id=name,
+            address=address,
+            view=view,
+            coordinator=coordinator,
+            load=load,
+            clock=clock,
+            take_samples=list,
+            busy=dict,
+        )
+        coordinator.linked = links.linked
+        return cls(coordinator=coordinator, links=links, table=table, view=view)
+
+    async def read_on(self) -> None:
+        """Keep the ages of the beliefs small, as the watcher of a host with the store does."""
+        while True:
+            if self.table.faults.store is not StoreState.DOWN:
+                self.view.note_configuration_read()
+                self.view.note_registry_read(age_s=0.0)
+            await trio.sleep(0.05)
+
+
+async def _becomes(condition: Callable[[], bool], within_s: float) -> bool:
+    with trio.move_on_after(within_s):
+        while not condition():
+            await trio.sleep(0.02)
+        return True
+    return False
+
+
+class BlindHostsSteps:
+    """Guards against hosts that stay without a coordinator because they cannot ask the store."""
+
+    @staticmethod
+    @given('three linked hosts of which "h1" has the role')
+    def three(context: Any) -> None:
+        context.away = []
+
+    @staticmethod
+    @when("the store turns away {names}")
+    def turned_away(context: Any, names: str) -> None:
+        context.away = [name.strip('"') for name in names.split(" and ")]
+
+    @staticmethod
+    def _play(context: Any, check: Callable[[dict[str, _Host]], Awaitable[str]]) -> None:
+        """Run the hosts; ``check`` returns what is wrong, or an empty text."""
+
+        async def main() -> None:
+            store = TableStore()
+            hosts = {name: await _Host.make(name, store) for name in ("h1", "h2", "h3")}
+            async with trio.open_nursery() as nursery:
+                for host in hosts.values():
+                    await nursery.start(host.links.run)
+                    nursery.start_soon(host.coordinator.run)
+                    nursery.start_soon(host.read_on)
+                others = [hosts["h2"].links, hosts["h3"].links]
+                linked = await _becomes(
+                    lambda: all(links.covers() and links.hosts == 3 for links in others),
+                    LINKED_WITHIN_S,
+                )
+                hosts["h3"].coordinator._role._takeover_delay_s = 0.0
+                for name in context.away:
+                    hosts[name].table.faults.store = StoreState.DOWN
+                problem = await check(hosts) if linked else "the hosts are not linked"
+                nursery.cancel_scope.cancel()
+            assert not problem, problem
+
+        trio.run(main)
+
+    @staticmethod
+    @then('"{blind}" is linked to "{leader}" within {seconds:g} s of the takeover')
+    def linked(context: Any, blind: str, leader: str, seconds: float) -> None:
+        async def check(hosts: dict[str, _Host]) -> str:
+            coordinator = hosts[leader].coordinator
+            if not await _becomes(lambda: coordinator.leading, TAKEOVER_WITHIN_S):
+                return "no takeover"
+            host = hosts[blind]
+            if not await _becomes(host.links.covers, seconds):
+                return "the host is not linked"
+            found = host.coordinator.coordinator_address
+            return "" if found == coordinator.address else f"linked to {found}"
+
+        BlindHostsSteps._play(context, check)
+
+    @staticmethod
+    @then("no host has the role after {seconds:g} s, and none is linked")
+    def none(context: Any, seconds: float) -> None:
+        async def check(hosts: dict[str, _Host]) -> str:
+            await trio.sleep(seconds)
+            leading = [name for name, host in hosts.items() if host.coordinator.leading]
+            linked = [name for name, host in hosts.items() if host.links.linked()]
+            return f"leading: {leading}, linked: {linked}" if leading or linked else ""
+
+        BlindHostsSteps._play(context, check)
+
+
+class LostRoleSteps:
+    """Guards against a host that writes over another host's role because it knows its version."""
+
+    @staticmethod
+    @given("a host whose role lapsed while another host took it")
+    def lapsed(context: Any) -> None:
+        context.role_table = MemoryTable(store=TableStore())
+
+    @staticmethod
+    def _role(name: str, table: MemoryTable) -> CoordinatorRole:
+        return CoordinatorRole(
+            member=f"{name}@1",
+            address=f"{name}:1",
+            table=table,
+            clock=TrioClock(wall_offset=0.0),
+            takeover_delay_s=0.0,
+        )
+
+    @staticmethod
+    @when("the host hears of the other host and then tries to {act}")
+    def hears(context: Any, act: str) -> None:
+        async def main() -> None:
+            first, second = (LostRoleSteps._role(name, context.role_table) for name in ("h1", "h2"))
+            await first.look()
+            await first.take()
+            first.taken = True
+            await trio.sleep(ROLE_LEASE_S + TAKEOVER_S)
+            await second.look()
+            await trio.sleep(TAKEOVER_S)
+            assert await second.look() <= 0
+            await second.take()
+            context.other = second
+            first.note(member="h2@1", address="h2:1", version=second.version, age_s=0.1)
+            assert not first.taken
+            try:
+                if act == "write owners":
+                    await first.write({"owners/s": 0}, {"owners/s": {}})
+                else:
+                    await first.give_back()
+            except ConditionFailedError:
+                pass
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    @staticmethod
+    @then("the other host still has the role, at its version")
+    def kept(context: Any) -> None:
+        row = context.role_table.store.read(COORDINATOR_KEY)
+        assert (row.value["member"], row.version) == ("h2@1", context.other.version)
+        assert context.role_table.store.read("owners/s") is None
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -73,6 +73,7 @@
 MAX_LOST_SHARE = 0.5
 """A host to which more of the upstreams are lost at the same time gives the role back."""
 MIN_LOST_TO_YIELD = 3
+
 log = get_logger("coordinator")
 
 
@@ -150,9 +151,14 @@
         """Seconds since the role's row was last seen to change."""
         return self._role.age_s
 
-    def note_role(self, *, version: int, age_s: float) -> None:
-        """Take note of a version of the role's row that the coordinator passes on."""
-        self._role.note(version=version, age_s=age_s)
+    @property
+    def holder(self) -> str:
+        """The host that has the role, as far as known: ``<host id>@<incarnation>``."""
+        return self._role.holder
+
+    def note_role(self, *, member: str, address: str, version: int, age_s: float) -> None:
+        """Take note of the role's row as another host knows it."""
+        self._role.note(member=member, address=address, version=version, age_s=age_s)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         task_status.started()
--- a/src/acaciasaddle/keyspace/_role.py
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -79,6 +79,11 @@
         """Address of the host that has the role, as far as known."""
         return str(self._value.get("address", ""))
 
+    @property
+    def holder(self) -> str:
+        """The host that has the role, as far as known: ``<host id>@<incarnation>``."""
+        return str(self._value.get("member", ""))
+
     @property
     def known(self) -> bool:
         """Whether the row has been seen since this host last lost the role."""
@@ -94,11 +99,20 @@
         """Seconds since this host's last successful write."""
         return self._clock.now() - self._written_at
 
-    def note(self, *, version: int, age_s: float) -> None:
-        """Take note of a version of the row that the coordinator passes on."""
-        if not self.taken and version > self.version:
-            self.version = version
-            self._seen_at = self._clock.now() - age_s
+    def note(self, *, member: str, address: str, version: int, age_s: float) -> None:
+        """Take note of the row as another host knows it.
+
+        A host that had the role has lost it if another one stands in a later version. A role that
+        has not lapsed here cannot have moved on.
+        """
+        if version <= self.version or member == self._member or self.held:
+            return
+        if self.taken:
+            log.info("role lost", reason="another host is known to have it", holder=member)
+            self.taken = False
+        self._value = {"member": member, "address": address}
+        self.version = version
+        self._seen_at = self._clock.now() - age_s
 
     async def look(self) -> float:
         """Read the row; return the seconds until this host may try to take the role."""
@@ -120,9 +134,10 @@
 
     async def take(self) -> str | None:
         """Try to take the role; return the member that had it, or ``None`` if another host won."""
-        earlier = str(self._value.get("member", ""))
+        earlier = self.holder
         try:
-            await self.write({}, {})
+            async with self._writing:
+                await self._renew({}, {})
         except ConditionFailedError:
             log.info("another host took the role")
             return None
@@ -136,15 +151,26 @@
         Returns the new version of each row.
         """
         async with self._writing:
-            started = self._clock.now()
-            versions = await self._transact(self._member, started, conditions, puts)
-            self._note_written(started)
-            return versions
+            if self.holder != self._member:
+                raise ConditionFailedError(
+                    "another host has the role", keys=(COORDINATOR_KEY,), step="role.write"
+                )
+            return await self._renew(conditions, puts)
+
+    async def _renew(
+        self, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
+    ) -> dict[str, int]:
+        started = self._clock.now()
+        versions = await self._transact(self._member, started, conditions, puts)
+        self._note_written(started)
+        return versions
 
     async def give_back(self) -> None:
         """Let another host take the role at once."""
         async with self._writing:
             self._held_until = 0.0
+            if self.holder != self._member:
+                return
             await self._transact("", self._clock.now(), {}, {})
 
     async def yield_back(self) -> None:
@@ -169,8 +195,7 @@
 
     def _vacant(self) -> bool:
         """Whether nobody has the role, or an earlier life of this host."""
-        earlier = str(self._value.get("member", ""))
-        return not earlier or earlier.partition("@")[0] == self._member.partition("@")[0]
+        return not self.holder or self.holder.partition("@")[0] == self._member.partition("@")[0]
 
     async def _transact(
         self,
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from dataclasses import dataclass
 from dataclasses import field
@@ -22,9 +23,10 @@
 from acaciasaddle.links._changes import OwnersLog
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._changes import apply_part
+from acaciasaddle.links._messages import ANSWERS
 from acaciasaddle.links._messages import REPORTS
-from acaciasaddle.links._messages import STATES
 from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import Redirect
 from acaciasaddle.links._messages import Report
 from acaciasaddle.links._messages import State
 from acaciasaddle.observe import get_logger
@@ -65,6 +67,7 @@
     serial: int = -1
     registry: RegistryCursor = field(default_factory=RegistryCursor)
     needs_configuration: bool = False
+    peers: list[str] = field(default_factory=list)
 
 
 class Links(Service):
@@ -102,6 +105,8 @@
         self._hosts = 0
         self._leading_since: float | None = None
         self._total_busy: dict[str, int] = {}
+        self._address_of: dict[str, str] = {}
+        self._peers: list[str] = []
 
     @property
     def hosts(self) -> int:
@@ -144,11 +149,21 @@
                     await trio.sleep(INTERVAL_S)
                     continue
                 self._leading_since = None
-                if self._coordinator.coordinator_address in ("", self._address):
-                    await trio.sleep(RECONNECT_S)
-                else:
-                    await self._follow(self._coordinator.coordinator_address)
-                    await trio.sleep(RECONNECT_S)
+                for address in self._addresses_to_try():
+                    if await self._follow(address):
+                        break
+                await trio.sleep(RECONNECT_S)
+
+    def _addresses_to_try(self) -> list[str]:
+        """Return the coordinator's address as far as known, and that of another host.
+
+        The store tells who the coordinator is. A host that the store turns away asks the hosts that
+        were linked when it last was.
+        """
+        known = self._coordinator.coordinator_address
+        others = [peer for peer in self._peers if peer not in (self._address, known)]
+        addresses = [known] if known not in ("", self._address) else []
+        return addresses + random.sample(others, min(1, len(others)))
 
     # The coordinator's side.
 
@@ -161,6 +176,7 @@
             self._leading_since = now
         if now - self._leading_since >= ALL_LINKED_S:
             self._hosts = max(self._hosts, len(self._busy_of))
+            self._peers = sorted([self._address, *self._address_of.values()])
         total: dict[str, int] = {}
         for busy in self._busy_of.values():
             for name, count in busy.items():
@@ -169,11 +185,11 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         """Serve another host for as long as this one is the coordinator."""
-        if not self._coordinator.leading:
-            await stream.aclose()
-            return
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         frames = FrameStream(stream=stream, peer="host")
+        if not self._coordinator.leading:
+            await self._redirect(stream, frames)
+            return
         told: _Told | None = None
         try:
             async with stream, trio.open_nursery() as nursery:
@@ -184,6 +200,7 @@
                         self._take_report(report)
                         if told is None:
                             told = _Told(host_id=report.host_id, owners=dict(report.owners))
+                            self._address_of[report.host_id] = report.address
                             nursery.start_soon(
                                 self._send_states, frames, told, nursery.cancel_scope
                             )
@@ -195,6 +212,25 @@
         finally:
             if told is not None:
                 self._busy_of.pop(told.host_id, None)
+                self._address_of.pop(told.host_id, None)
+
+    async def _redirect(self, stream: trio.SocketStream, frames: FrameStream) -> None:
+        """Tell another host who the coordinator is, if this one is linked to it."""
+        async with stream:
+            if not self.linked():
+                return
+            redirect = Redirect(
+                member=self._coordinator.holder,
+                address=self._coordinator.coordinator_address,
+                role_version=self._coordinator.role_version,
+                role_age_s=self._coordinator.role_age_s,
+            )
+            try:
+                with trio.fail_after(SILENCE_S):
+                    await frames.send(redirect)
+                    await frames.receive(REPORTS)
+            except (PeerError, trio.TooSlowError) as exc:
+                log.info("host takes no redirect", reason=str(exc))
 
     def _take_report(self, report: Report) -> None:
         self._busy_of[report.host_id] = report.busy
@@ -233,7 +269,10 @@
             parts += owners_log.since(told.owners.get(service, 0))
             told.owners[service] = owners.version
         needs_configuration, told.needs_configuration = told.needs_configuration, False
+        peers = self._peers if told.peers != self._peers else []
+        told.peers = self._peers
         return State(
+            member=self._coordinator.holder,
             role_version=self._coordinator.role_version,
             role_age_s=self._coordinator.role_age_s,
             hosts=self._hosts,
@@ -244,6 +283,7 @@
             registry=registry,
             owners=parts,
             busy=self._counts_that_matter(),
+            peers=peers,
         )
 
     def _counts_that_matter(self) -> dict[str, int]:
@@ -262,15 +302,19 @@
 
     # The other hosts' side.
 
-    async def _follow(self, address: str) -> None:
-        """Keep a link to the coordinator until it fails or the role moves."""
+    async def _follow(self, address: str) -> bool:
+        """Keep a link to the coordinator until it fails or the role moves.
+
+        Returns whether the host at the address was the coordinator.
+        """
+        found = False
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 host, _, port = address.rpartition(":")
                 stream = await trio.open_tcp_stream(host, int(port))
         except (OSError, trio.TooSlowError) as exc:
             log.info("no link to the coordinator", address=address, reason=str(exc))
-            return
+            return False
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         frames = FrameStream(stream=stream, peer=address)
         async with stream, trio.open_nursery() as nursery:
@@ -278,11 +322,31 @@
             try:
                 while not self._coordinator.leading:
                     with trio.fail_after(SILENCE_S):
-                        self._take_state(await frames.receive(STATES))
+                        answer = await frames.receive(ANSWERS)
+                    if isinstance(answer, Redirect):
+                        self._take_redirect(answer, peer=address)
+                        break
+                    found = True
+                    self._take_state(answer, peer=address)
             except (PeerError, trio.TooSlowError) as exc:
                 log.info("link to the coordinator ended", address=address, reason=str(exc))
             nursery.cancel_scope.cancel()
         self._state_at = None
+        return found
+
+    def _take_redirect(self, redirect: Redirect, *, peer: str) -> None:
+        log.info(
+            "coordinator known by another host",
+            peer=peer,
+            address=redirect.address,
+            version=redirect.role_version,
+        )
+        self._coordinator.note_role(
+            member=redirect.member,
+            address=redirect.address,
+            version=redirect.role_version,
+            age_s=redirect.role_age_s,
+        )
 
     async def _send_reports(self, frames: FrameStream, scope: trio.CancelScope) -> None:
         try:
@@ -293,6 +357,7 @@
                 ]
                 report = Report(
                     host_id=self._host_id,
+                    address=self._address,
                     samples=samples,
                     busy=self._busy(),
                     owners={name: owners.version for name, owners in self._view.owners.items()},
@@ -305,14 +370,20 @@
             log.info("coordinator does not take reports", reason=str(exc))
         scope.cancel()
 
-    def _take_state(self, state: State) -> None:
+    def _take_state(self, state: State, *, peer: str) -> None:
         if self._state_at is None:
             log.info("link to the coordinator", hosts=state.hosts)
         self._state_at = self._clock.now()
         self._ages_fit = max(state.configuration_age_s, state.registry_age_s) < MAX_AGE_S
         self._hosts = max(self._hosts, state.hosts)
+        self._peers = state.peers or self._peers
         self._total_busy = state.busy
-        self._coordinator.note_role(version=state.role_version, age_s=state.role_age_s)
+        self._coordinator.note_role(
+            member=state.member,
+            address=peer,
+            version=state.role_version,
+            age_s=state.role_age_s,
+        )
         if state.configuration_version != self._announced_version:
             self._announced_version = state.configuration_version
             self._announced_at = self._state_at
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -34,10 +34,11 @@
     ``samples`` are the fields of ``LoadSample``: service, key, upstream id and seconds; ``busy`` is
     the number of its requests in progress at each upstream. ``owners`` maps a service to the
     version of its keys' owners that the host knows. ``needs_configuration``: the host could not
-    read the newest configuration itself.
+    read the newest configuration itself. ``address`` is where the host listens for links.
     """
 
     host_id: str
+    address: str
     samples: list[tuple[str, int, str, float]]
     busy: dict[str, int]
     owners: dict[str, int]
@@ -64,15 +65,17 @@
     removed: list[str]
 
 
-class State(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
+class State(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
     """What the coordinator believes. Parts that have not changed are ``None`` or empty.
 
-    Ages are in seconds. ``busy`` lists upstreams whose slots are all taken, and all
-    upstreams of services without keys. The configuration
-    itself is only sent to a host that asks for it: that of a grown deployment takes hundreds of
-    kilobytes, and the platform's link is wider than the coordinator's.
+    Ages are in seconds. ``member`` is the coordinator as in the row of the role, ``peers`` are the
+    addresses of all linked hosts. ``busy`` lists upstreams whose slots are all taken, and all
+    upstreams of services without keys. The configuration itself is only sent to a host that asks
+    for it: that of a grown deployment takes hundreds of kilobytes, and the platform's link is wider
+    than the coordinator's.
     """
 
+    member: str
     role_version: int
     role_age_s: float
     hosts: int
@@ -83,11 +86,25 @@
     registry: RegistryPart | None
     owners: list[OwnersPart]
     busy: dict[str, int]
+    peers: list[str]
+
+
+class Redirect(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
+    """The answer of a host that is not the coordinator, but linked to it.
+
+    ``member`` and ``address`` are those of the coordinator, as in the row of the role, whose
+    version was ``role_version`` when it was seen to change ``role_age_s`` seconds ago.
+    """
+
+    member: str
+    address: str
+    role_version: int
+    role_age_s: float
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 REPORTS = msgspec.msgpack.Decoder(Report)
-STATES = msgspec.msgpack.Decoder(State)
+ANSWERS = msgspec.msgpack.Decoder(State | Redirect)
 
 
 class FrameStream:
