Give grants and releases a module of their own

Cause: _coordinator.py had 557 lines with two subjects: who assigns keys, and what the upstreams answered. Ruled out: splitting by length alone, which leaves both halves with all attributes.

Grants holds the tenures and the orders; the coordinator keeps the role, the rounds and the moves. The request's key is now a property of the forwarder's work (four copies of one condition), and a call without effect in the node's gauges is gone.

--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -82,6 +82,11 @@
     def repeatable(self) -> bool:
         return self.route.repeat is Repeat.IDEMPOTENT
 
+    @property
+    def key(self) -> int | None:
+        """The key whose owner alone may run the request, if there is one."""
+        return self.terms.key if self.service.keyed else None
+
 
 class Forwarder:
     """Serves callers' requests with the state in the view."""
@@ -162,9 +167,9 @@
         now = trio.current_time()
         self._budget.note_request(work.service.name, now=now)
         self._pressure.note(work.service.name, work.route.rank, now=now)
-        if work.service.keyed and work.terms.key is not None:
+        if work.key is not None:
             # The load of a key is what callers ask for, served or not.
-            self._sample(work, key=work.terms.key)
+            self._sample(work, key=work.key)
         with trio.move_on_at(work.ends_at + RESPONSE_GRACE_S):
             return await self._attempt_until_served(work)
         if work.outcome is Outcome.NOT_RUN:
@@ -199,8 +204,8 @@
     # The choice of an upstream.
 
     async def _choose(self, work: _Work) -> UpstreamEntry:
-        if work.service.keyed and work.terms.key is not None:
-            return await self._owner(work, work.terms.key)
+        if work.key is not None:
+            return await self._owner(work, work.key)
         upstreams = self._view.upstreams_of(work.service.name)
         chosen = self._states.choose(
             upstreams,
@@ -380,7 +385,6 @@
         """Prepare another send after the upstream refused to run the request, or raise."""
         now = trio.current_time()
         state = self._states.of(upstream.upstream_id)
-        keyed = work.service.keyed and work.terms.key is not None
         self._metrics.count(f"forward.rejected.{status}")
         log.info(
             "rejected by upstream",
@@ -391,7 +395,7 @@
         if status in (429, 503):
             state.full(now, state.seconds)
         wait_s = state.seconds
-        if keyed:
+        if work.key is not None:
             may_resend = await self._may_ask_owner_again(work, upstream, status)
         else:
             may_resend = len(work.tried) < work.route.max_upstreams
@@ -422,8 +426,7 @@
     def _may_resend(self, work: _Work, upstream: UpstreamEntry) -> bool:
         if not work.repeatable or work.sends >= MAX_SENDS:
             return False
-        keyed = work.service.keyed and work.terms.key is not None
-        if not keyed and len(work.tried) >= work.route.max_upstreams:
+        if work.key is None and len(work.tried) >= work.route.max_upstreams:
             return False
         if trio.current_time() > work.ends_at - self._states.of(upstream.upstream_id).seconds:
             return False
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -17,7 +17,6 @@
 
 from acaciasaddle.errors import AuthorityLostError
 from acaciasaddle.errors import ConditionFailedError
-from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import PlatformError
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.errors import WriteOutcomeUnknownError
@@ -25,7 +24,10 @@
 from acaciasaddle.keyspace._balance import candidates_by_speed
 from acaciasaddle.keyspace._balance import join_spans
 from acaciasaddle.keyspace._balance import plan_moves
-from acaciasaddle.keyspace._leases import Tenure
+from acaciasaddle.keyspace._grants import LOST_AFTER_S
+from acaciasaddle.keyspace._grants import ORDER_TIMEOUT_S
+from acaciasaddle.keyspace._grants import RELEASE_RETRY_S
+from acaciasaddle.keyspace._grants import Grants
 from acaciasaddle.keyspace._leases import lease_end
 from acaciasaddle.keyspace._role import ROLE_LEASE_S
 from acaciasaddle.keyspace._role import ROLE_RENEWAL_S
@@ -34,7 +36,6 @@
 from acaciasaddle.keyspace._types import FencedError
 from acaciasaddle.keyspace._types import KeyMap
 from acaciasaddle.keyspace._types import Owner
-from acaciasaddle.keyspace._types import ReplacedError
 from acaciasaddle.keyspace._types import Span
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import get_logger
@@ -56,23 +57,8 @@
 JOIN_INTERVAL_S = 2.0
 """Ranges that lie side by side become one at least this often, also while others move. A joined
 range is renewed for the first time up to 0.8 s later, well within the lease of its parts."""
-KEY_LEASE_S = 3.5
-"""Outlasts the loss of a coordinator: 1.6 s until the takeover, a poll and the first renewals."""
-KEY_RENEWAL_S = 0.8
-ORDER_TIMEOUT_S = 0.8
-RELEASE_TIMEOUT_S = 3.0
-"""A release is answered when the work in progress has ended."""
-RELEASE_RETRY_S = 0.2
-LOST_AFTER_S = 1.2
-"""Failures for this long, two orders in a row, make an upstream lost."""
-STORE_TROUBLE_S = 0.9
-"""Without a successful write for this long, renewals ask for the longest lease."""
 STOP_RENEWAL_S = 0.5
 """Time for the last renewals of a host that stops; an upstream answers within some milliseconds."""
-PROBE_INTERVAL_S = 1.0
-MAX_LOST_SHARE = 0.5
-"""A host to which more of the upstreams are lost at the same time gives the role back."""
-MIN_LOST_TO_YIELD = 3
 
 log = get_logger("coordinator")
 
@@ -118,13 +104,20 @@
         )
         self._view = view
         self._table = table
-        self._orders = orders
         self._clock = clock
         self._load = load
         self._max_lease_s = max_lease_s
         self._metrics = metrics or NullMetrics()
         self._owners: dict[str, KeyMap] = {}
-        self._tenures: dict[Owner, Tenure] = {}
+        self._grants = Grants(
+            role=self._role,
+            owners=self._owners,
+            view=view,
+            orders=orders,
+            clock=clock,
+            max_lease_s=max_lease_s,
+            metrics=self._metrics,
+        )
         self._completed: list[KeyChange] = []
         self._joined_at: dict[str, float] = {}
         self._under_way: set[tuple[str, int]] = set()
@@ -178,12 +171,12 @@
         Keys are granted for the longest time first: with the store out of reach nobody can take the
         role and renew them.
         """
-        self._stopping = True
+        self._stopping = self._grants.stopping = True
         if not self._role.taken:
             return
         with trio.move_on_after(STOP_RENEWAL_S):
             async with trio.open_nursery() as nursery:
-                self._start_renewals(nursery)
+                self._grants.start_renewals(nursery)
         self._role.taken = False
         try:
             await self._role.give_back()
@@ -216,21 +209,17 @@
 
     async def _load_owners(self, *, taken_at: float, vacant: bool) -> None:
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
-        self._owners = {
-            row.key.partition("/")[2]: KeyMap.from_json(row.value, version=row.version)
-            for row in scan.rows
-        }
-        self._tenures.clear()
+        self._owners.clear()
+        for row in scan.rows:
+            service = row.key.partition("/")[2]
+            self._owners[service] = KeyMap.from_json(row.value, version=row.version)
         self._completed.clear()
         self._under_way.clear()
         # The previous coordinator may have renewed until its role lapsed, for the longest lease.
         lapse_s = 0.0 if vacant else ROLE_LEASE_S
-        until = lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s)
-        for owners in self._owners.values():
-            for span in owners.spans:
-                for owner in (span.owner, span.previous):
-                    if owner is not None:
-                        self._tenures.setdefault(owner, Tenure(held_until=until))
+        self._grants.start_over(
+            held_until=lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s)
+        )
 
     async def _settle_role(self) -> bool:
         """After a write with an unknown outcome: take over what it did, or give up the role."""
@@ -254,15 +243,15 @@
 
     async def _lead(self) -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._renew_leases, nursery)
-            nursery.start_soon(self._probe_lost)
+            nursery.start_soon(self._grants.renew_leases, nursery)
+            nursery.start_soon(self._grants.probe_lost)
             unknown = False
             while self._role.taken:
                 try:
                     if unknown and not await self._settle_role():
                         break
                     unknown = False
-                    if self._is_cut_off():
+                    if self._grants.is_cut_off():
                         log.warning("most upstreams are out of reach, giving the role back")
                         await self._role.yield_back()
                         break
@@ -281,17 +270,6 @@
             nursery.cancel_scope.cancel()
         self._role.lose()
 
-    def _is_cut_off(self) -> bool:
-        """Whether this host, rather than its upstreams, is the one that is out of reach."""
-        known = [
-            tenure
-            for entry in self._view.upstreams.values()
-            for tenure in [self._tenures.get(Owner(life=entry.life, address=entry.address))]
-            if tenure is not None and not tenure.ended
-        ]
-        lost = sum(tenure.lost for tenure in known)
-        return lost >= MIN_LOST_TO_YIELD and lost > len(known) * MAX_LOST_SHARE
-
     def _start_moves(self, nursery: trio.Nursery) -> None:
         for service, owners in self._owners.items():
             for span in owners.spans:
@@ -346,8 +324,7 @@
         usable = {}
         for entry in self._view.upstreams_of(service):
             owner = Owner(life=entry.life, address=entry.address)
-            tenure = self._tenures.get(owner)
-            if tenure is None or not tenure.lost:
+            if self._grants.usable(owner):
                 usable[owner] = entry.slots
         times = self._load.response_times(service, now=now)
         slowness = {owner: times.relative(owner.life.upstream_id) for owner in usable}
@@ -372,21 +349,21 @@
         started = self._clock.now()
         handover = ""
         if span.previous is not None:
-            handover = await self._vacate(span, span.previous)
-        while self._is_current(change):
+            handover = await self._grants.vacate(span, span.previous)
+        while self._grants.is_current(change.service, span):
             try:
-                await self._grant(span, handover=handover)
+                await self._grants.grant(span, handover=handover)
             except AuthorityLostError as exc:
                 log.info("grant waits", reason=str(exc), fence=span.fence)
                 await trio.sleep(RELEASE_RETRY_S)
                 continue
             except FencedError as exc:
                 log.warning("grant refused", reason=str(exc), fence=span.fence)
-                self._tenure(span.owner).lost = True
+                self._grants.tenure(span.owner).lost = True
                 return
             except UpstreamError as exc:
                 log.warning("grant failed", reason=str(exc), fence=span.fence)
-                tenure = self._tenure(span.owner)
+                tenure = self._grants.tenure(span.owner)
                 if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
                     log.warning("upstream lost", upstream=span.owner.life.upstream_id)
                 if tenure.lost:
@@ -406,147 +383,6 @@
             change.span.keys, [settled], fence=owners.fence
         )
 
-    async def _vacate(self, span: Span, owner: Owner) -> str:
-        """Release keys; return the handover, or nothing once the leases have surely ended."""
-        tenure = self._tenure(owner)
-        # Later renewals leave these keys out, so only the leases granted so far matter.
-        until = tenure.held_until
-        while not self._life_is_over(owner, tenure):
-            left = until - self._clock.now()
-            if left <= 0:
-                log.info(
-                    "leases ended",
-                    upstream=owner.life.upstream_id,
-                    first=span.keys.first,
-                    fence=span.fence,
-                )
-                return ""
-            try:
-                async with tenure.releases:
-                    left = max(0.0, until - self._clock.now())
-                    return await self._release(span, owner, tenure, min(RELEASE_TIMEOUT_S, left))
-            except ReplacedError as exc:
-                log.info("upstream has ended", upstream=owner.life.upstream_id, reason=str(exc))
-                tenure.ended = tenure.lost = True
-            except trio.TooSlowError:
-                log.debug("another release is tried at the lost upstream")
-            except UpstreamError as exc:
-                log.warning("release failed", reason=str(exc), fence=span.fence)
-            await trio.sleep(min(RELEASE_RETRY_S, max(0.0, until - self._clock.now())))
-        return ""
-
-    async def _release(self, span: Span, owner: Owner, tenure: Tenure, timeout_s: float) -> str:
-        if not tenure.lost:
-            return await self._orders.release(
-                owner, span.keys, fence=span.fence, timeout_s=timeout_s
-            )
-        with trio.fail_after(timeout_s):
-            await tenure.releasing.acquire()
-        try:
-            return await self._orders.release(
-                owner, span.keys, fence=span.fence, timeout_s=min(ORDER_TIMEOUT_S, timeout_s)
-            )
-        finally:
-            tenure.releasing.release()
-
-    def _life_is_over(self, owner: Owner, tenure: Tenure) -> bool:
-        if tenure.ended:
-            return True
-        entry = self._view.upstreams.get(owner.life.upstream_id)
-        return entry is not None and entry.life.started_ms > owner.life.started_ms
-
-    def _is_current(self, change: KeyChange) -> bool:
-        owners = self._owners.get(change.service)
-        span = owners.find(change.span.keys.first) if owners else None
-        return (
-            span is not None and span.fence == change.span.fence and span.keys == change.span.keys
-        )
-
-    def _tenure(self, owner: Owner) -> Tenure:
-        return self._tenures.setdefault(owner, Tenure(held_until=self._clock.now()))
-
-    async def _grant(self, span: Span, *, handover: str = "") -> None:
-        """Grant or renew the keys of a span while the role is surely held."""
-        now = self._clock.now()
-        if self._role.lapsed:
-            raise AuthorityLostError(
-                "the role may have lapsed", step="coordinator.grant", peer=span.owner.address
-            )
-        trouble = self._role.since_write_s > STORE_TROUBLE_S
-        lease_s = self._max_lease_s if trouble or self._stopping else KEY_LEASE_S
-        tenure = self._tenure(span.owner)
-        before = tenure.sending(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
-        try:
-            await self._orders.grant(
-                span.owner,
-                span.keys,
-                fence=span.fence,
-                lease_s=lease_s,
-                handover=handover,
-                timeout_s=ORDER_TIMEOUT_S,
-            )
-        except ReplacedError:
-            tenure.ended = tenure.lost = True
-            raise
-        except UpstreamError as exc:
-            if exc.outcome is Outcome.NOT_RUN:
-                tenure.not_sent(before)
-            raise
-        tenure.answered()
-        self._metrics.count("keyspace.granted")
-
-    async def _renew_leases(self, nursery: trio.Nursery) -> None:
-        while True:
-            self._start_renewals(nursery)
-            await trio.sleep(KEY_RENEWAL_S)
-
-    def _start_renewals(self, nursery: trio.Nursery) -> None:
-        """Renew the leases of all upstreams whose last renewal has ended, each in a task."""
-        by_owner: dict[Owner, list[tuple[str, Span]]] = {}
-        for service, owners in self._owners.items():
-            for span in owners.spans:
-                if not span.moving:
-                    by_owner.setdefault(span.owner, []).append((service, span))
-        for owner, spans in by_owner.items():
-            tenure = self._tenure(owner)
-            if not tenure.renewing and not tenure.lost:
-                tenure.renewing = True
-                nursery.start_soon(self._renew, owner, tenure, spans)
-
-    async def _renew(self, owner: Owner, tenure: Tenure, spans: list[tuple[str, Span]]) -> None:
-        try:
-            for service, span in spans:
-                if tenure.lost or not self._is_current(KeyChange(service=service, span=span)):
-                    continue
-                await self._grant(span)
-        except AuthorityLostError as exc:
-            log.info("renewal waits", reason=str(exc), upstream=owner.life.upstream_id)
-        except FencedError as exc:
-            # A renewal that was under way when its keys moved on is refused rightly.
-            if self._is_current(KeyChange(service=service, span=span)):
-                log.warning("renewal refused", reason=str(exc), fence=span.fence)
-                tenure.lost = True
-        except UpstreamError as exc:
-            self._metrics.count("keyspace.renewal_failed")
-            log.warning("renewal failed", reason=str(exc), upstream=owner.life.upstream_id)
-            if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
-                log.warning("upstream lost", upstream=owner.life.upstream_id)
-                self._orders.forget(owner.address)
-        finally:
-            tenure.renewing = False
-
-    async def _probe_lost(self) -> None:
-        """Trust lost upstreams again once they answer."""
-        while True:
-            await trio.sleep(PROBE_INTERVAL_S)
-            registered = {entry.life: entry for entry in self._view.upstreams.values()}
-            for owner, tenure in list(self._tenures.items()):
-                if tenure.ended or not tenure.lost or owner.life not in registered:
-                    continue
-                if await self._orders.reachable(owner.address, timeout_s=ORDER_TIMEOUT_S):
-                    log.info("upstream reachable again", upstream=owner.life.upstream_id)
-                    tenure.answered()
-
 
 def _settled(owners: KeyMap, span: Span) -> KeyMap:
     """Return the map with a move marked as done."""
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -159,7 +159,6 @@
     def _gauges(self) -> dict[str, float]:
         """Return what is only looked up when the metrics are asked for."""
         view, now = self.view, self._clock.now()
-        resource.getrusage(resource.RUSAGE_SELF)
         gauges = {
             "callers.open_connections": float(self.callers.open_connections),
             "links.hosts": float(self.links.hosts),
