Take keys back from an upstream that started again under its name

The coordinator then regarded the earlier life as over and granted the keys elsewhere at once, while the new life held them for up to 10 s.

A life is now regarded as over without a release only if the later one has another address.

Before: "starts again under its name" in keyspace/coordinator.feature failed with five keys of two owners.

--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -39,6 +39,13 @@
     Then no key had two owners
     And all keys are owned
 
+  Scenario: an upstream starts again under its name and is granted keys before that is known
+    When after 1 s upstream "u4" starts again to drain, which the registry shows 1.2 s later
+    And the key fleet runs for 4 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 1.2 s
+
   Scenario: keys stay owned when the coordinator is killed
     When after 1 s the coordinator is killed
     And the key fleet runs for 8 s
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -67,6 +67,26 @@
 
         context.script.append((pause, act))
 
+    @staticmethod
+    @when(
+        'after {pause:g} s upstream "{name}" starts again to drain, '
+        "which the registry shows {late:g} s later"
+    )
+    def restarted(context: Any, pause: float, name: str, late: float) -> None:
+        fleet = context.key_fleet
+        server = fleet.server(name)
+
+        def restart() -> None:
+            server.fences.clear()
+            server.held_until.clear()
+
+        def show() -> None:
+            life = replace(server.entry.life, started_ms=server.entry.life.started_ms + 1_000)
+            server.entry = replace(server.entry, life=life, draining=True)
+            fleet.register()
+
+        context.script += [(pause, restart), (late, show)]
+
     @staticmethod
     @when("after {pause:g} s the coordinator is killed")
     def kill(context: Any, pause: float) -> None:
--- a/src/acaciasaddle/keyspace/_grants.py
+++ b/src/acaciasaddle/keyspace/_grants.py
@@ -132,10 +132,19 @@
             tenure.releasing.release()
 
     def _life_is_over(self, owner: Owner, tenure: Tenure) -> bool:
+        """Whether an upstream surely holds nothing that was granted to it.
+
+        A later life under the same name and address has taken renewals that were meant for the
+        earlier one, and has to release them.
+        """
         if tenure.ended:
             return True
         entry = self._view.upstreams.get(owner.life.upstream_id)
-        return entry is not None and entry.life.started_ms > owner.life.started_ms
+        return (
+            entry is not None
+            and entry.life.started_ms > owner.life.started_ms
+            and entry.address != owner.address
+        )
 
     def tenure(self, owner: Owner) -> Tenure:
         """Return what is known of an upstream's leases."""
