Give each port of a test to one test run

Cause: free_port knew only the ports that its own process had given, and a port is bound seconds later by a process that is still starting. Ruled out: ports of outgoing connections (the machine's range is 32768 to 60999).

The UDP port of the same number is kept bound as a sign for other processes. The features of links use free_port as well; they took ports of outgoing connections.

Before: emulator/ports.feature failed (the same port was given twice). After: it passes.

--- /dev/null
+++ b/features/steps/emulator_ports_steps.py
@@ -0,0 +1,51 @@
+"""Steps of emulator/ports.feature."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import Any
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from acaciasaddle.emulator import _fleet
+
+GIVE = """
+import sys
+from unittest import mock
+from acaciasaddle.emulator import _fleet
+with mock.patch.object(_fleet.random, "randrange", side_effect=[{port}]):
+    print(_fleet.free_port(), flush=True)
+sys.stdin.read()
+"""
+
+
+class PortSteps:
+    """Guards against ports that two test runs give at the same time."""
+
+    @staticmethod
+    @given("another process has given port {port:d} to a process that has not started yet")
+    def taken(context: Any, port: int) -> None:
+        process = subprocess.Popen(
+            [sys.executable, "-c", GIVE.format(port=port)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        context.add_cleanup(process.communicate)
+        assert process.stdout is not None
+        assert int(process.stdout.readline()) == port
+
+    @staticmethod
+    @when("a free port is asked for and {port:d} is the first candidate")
+    def asked(context: Any, port: int) -> None:
+        with mock.patch.object(_fleet.random, "randrange", side_effect=[port, port + 1]):
+            context.given_port = _fleet.free_port()
+        context.first_port = port
+
+    @staticmethod
+    @then("another port is given")
+    def another(context: Any) -> None:
+        assert context.given_port != context.first_port
--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -14,6 +14,7 @@
 from features.support.grown_owners import grown_owners
 
 from acaciasaddle.clock import TrioClock
+from acaciasaddle.emulator._fleet import free_port
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.fleet import RegistryChange
@@ -250,11 +251,7 @@
         async def main() -> tuple[bool, int]:
             clock = TrioClock(wall_offset=0.0)
             newer, older = context.link_versions
-            ports = []
-            for _ in range(2):
-                (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-                ports.append(listener.socket.getsockname()[1])
-                await listener.aclose()
+            ports = [free_port(), free_port()]
             links = []
             views = [LinkedHostsSteps._view(clock, version) for version in (newer, older)]
             for index, view in enumerate(views):
--- a/features/steps/links_takeover_steps.py
+++ b/features/steps/links_takeover_steps.py
@@ -13,6 +13,7 @@
 from trio.testing import MockClock
 
 from acaciasaddle.clock import TrioClock
+from acaciasaddle.emulator._fleet import free_port
 from acaciasaddle.emulator._store import MemoryTable
 from acaciasaddle.emulator._store import StoreState
 from acaciasaddle.emulator._store import TableStore
@@ -39,13 +40,6 @@
 """Time for which the hosts other than the first leave a free role to others at the start."""
 
 
-async def _free_port() -> int:
-    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    port: int = listener.socket.getsockname()[1]
-    await listener.aclose()
-    return port
-
-
 @dataclass(kw_only=True)
 class _Host:
     """A coordinator and its links, with a table of its own over the shared store."""
@@ -64,7 +58,7 @@
         )
         view.apply_registry(RegistryChange(revision=1, complete=True, entries={}))
         table = MemoryTable(store=store)
-        address = f"127.0.0.1:{await _free_port()}"
+        address = f"127.0.0.1:{free_port()}"
         orders: Any = None
         load = LoadBook()
         coordinator = Coordinator(
--- a/src/acaciasaddle/emulator/_fleet.py
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -39,7 +39,7 @@
 
 RECORD = TypeAdapter(UpstreamRecord)
 
-_given_ports: set[int] = set()
+_given_ports: list[socket.socket] = []
 
 
 class FleetError(AcaciasaddleError):
@@ -323,20 +323,22 @@
 
 
 def free_port() -> int:
-    """Return a TCP port of 127.0.0.1 that is free at the moment.
+    """Return a TCP port of 127.0.0.1 that is free, and that no other test run gives meanwhile.
 
-    Not from the range of outgoing connections, one of which could take it before it is used.
+    Not from the range of outgoing connections, one of which could take it before it is used. The
+    UDP port of the same number is kept as a sign for other processes.
     """
     while True:
         port = random.randrange(*SERVER_PORTS)
-        if port in _given_ports:
-            continue
-        with socket.socket() as sock:
-            try:
+        sign = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            sign.bind(("127.0.0.1", port))
+            with socket.socket() as sock:
                 sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _given_ports.add(port)
+        except OSError:
+            sign.close()
+            continue
+        _given_ports.append(sign)
         return port
 
 
