--- a/features/steps/node_settings_steps.py
+++ b/features/steps/node_settings_steps.py
@@ -6,6 +6,7 @@
 import re
 import tempfile
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 
 from behave import then
@@ -14,6 +15,9 @@
 from acaciasaddle.errors import ConfigError
 from acaciasaddle.node import load_node_settings
 
+if TYPE_CHECKING:
+    from acaciasaddle.node._settings import NodeSettings
+
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "node.json.template"
 VALUES = {
     "node": "edge-1",
@@ -36,6 +40,14 @@
     return re.sub(r"{{([^}]+)}}", value, TEMPLATE.read_text())
 
 
+def template_settings() -> NodeSettings:
+    """Return the settings that the filled-in template gives."""
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(_filled())
+        file.flush()
+        return load_node_settings(file.name)
+
+
 class NodeSettingsSteps:
     """Guards against a node that starts with settings it misreads."""
 
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -141,16 +141,17 @@
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self.kernel.run)
-            log.info("started", host=self._settings.host_id)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        # The handlers come first: a signal that meets none ends the process on the spot.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.kernel.run)
+                log.info("started", host=self._settings.host_id)
                 async for signum in signals:
                     if signum != signal.SIGHUP:
                         break
                     log.info("settings file changed; addresses stay as they are")
-            log.info("stopping", signal=signum)
-            self.kernel.shutdown()
+                log.info("stopping", signal=signum)
+                self.kernel.shutdown()
 
     def _limits(self) -> CallerLimits:
         cfg = self.view.configuration
