Add a soak of the real programs on the users' platform

The emulator's command soak starts nodes, a stand-in of the store and stand-ins of upstreams as processes, each node's way to the store and each upstream's address through a relay. From a seed it draws faults that come in series and overlap: pauses, kills and stops with restarts, relays that refuse, stop one way or both, delay and reset, a store that is away, slow, loses answers, performs writes late or forgets its history, and changes of the configuration. Callers keep their connections. It checks two owners, runs of once-only work, "not run", answers, service and configuration after the faults, exits and stops.

Ruled out: the fault matrix's in-process stage (no signals, no sockets), and the fleet of the product's own store (other protocol).

Each check is shown to fail: soak/checks.feature on records, soak/runs.feature on nodes with one of eight defects.

--- a/features/emulator/cli.feature
+++ b/features/emulator/cli.feature
@@ -7,7 +7,7 @@
     Then the emulator commands printed an address and ended with exit code 0
 
   Scenario: every subcommand has an example, and a wrong workload is explained
-    Then the emulator's subcommands "platform, upstream, load" show an example in their help
+    Then the emulator's subcommands "platform, upstream, load, soak" show an example in their help
     And the emulator's load command refuses this workload with "kinds.0.rate: Input should be greater than 0"
       """
       {duration_s: 1, kinds: [{name: "a", path: "/{key}", rate: 0, rank: "r", target_ms: 1}]}
--- /dev/null
+++ b/features/steps/soak_checks_steps.py
@@ -0,0 +1,121 @@
+"""Steps of soak/checks.feature."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+
+from acaciasaddle.emulator.soak import check_records
+from acaciasaddle.emulator.soak import draw_faults
+
+Records = list[dict[str, Any]]
+
+
+def _held(at: float, life: str, *, until: float, first: int = 0, last: int = 9) -> dict[str, Any]:
+    return {"kind": "held", "at": at, "life": life, "first": first, "last": last, "until": until}
+
+
+def _released(at: float, life: str, first: int, last: int) -> dict[str, Any]:
+    return {"kind": "released", "at": at, "life": life, "first": first, "last": last}
+
+
+def _run(at: float) -> dict[str, Any]:
+    return {"kind": "run", "at": at, "id": "r", "key": 1, "life": "u1@1"}
+
+
+def _attempt(outcome: str, *, once: bool = True) -> dict[str, Any]:
+    return {
+        "kind": "attempt",
+        "at": 9.0,
+        "id": "r",
+        "once": once,
+        "host": "h",
+        "status": 200,
+        "outcome": outcome,
+    }
+
+
+RECORDS: dict[str, Records] = {
+    "a grant while another lease runs": [
+        _held(1.0, "u1@1", until=5.0),
+        _held(4.0, "u2@1", until=8.0, first=9, last=20),
+    ],
+    "a grant after another lease": [
+        _held(1.0, "u1@1", until=5.0),
+        _held(5.1, "u2@1", until=8.0, first=9, last=20),
+    ],
+    "a grant after a release of other keys": [
+        _held(1.0, "u1@1", until=5.0),
+        _released(2.0, "u1@1", 3, 6),
+        _held(3.0, "u2@1", until=8.0, first=7, last=7),
+    ],
+    "a grant after a release": [
+        _held(1.0, "u1@1", until=5.0),
+        _released(2.0, "u1@1", 3, 6),
+        _held(3.0, "u2@1", until=8.0, first=3, last=6),
+    ],
+    "a grant while a later life's lease runs": [
+        _held(1.0, "u1@1", until=5.0),
+        {"kind": "dead", "at": 2.0, "upstream": "u1"},
+        _held(3.0, "u1@2", until=9.0),
+        _held(4.0, "u2@1", until=9.0),
+    ],
+    "a grant after the death of another": [
+        _held(1.0, "u1@1", until=5.0),
+        {"kind": "dead", "at": 2.0, "upstream": "u1"},
+        _held(3.0, "u2@1", until=9.0),
+    ],
+    "a deposit that ran twice": [_run(1.0), _run(2.0), _attempt("unknown")],
+    "a read that ran twice": [_run(1.0), _run(2.0), _attempt("completed", once=False)],
+    "a refused request that ran": [_run(1.0), _attempt("not-run")],
+    "a failed request that ran": [_run(1.0), _attempt("unknown")],
+    "a request that completed without a run": [_attempt("completed")],
+    "a completed request that ran": [_run(1.0), _attempt("completed")],
+    "an answer to another request": [_run(1.0), _attempt("foreign")],
+}
+
+
+class SoakCheckSteps:
+    """Guards against checks that do not see what they are for, or see it everywhere."""
+
+    @staticmethod
+    @then('records of {name} give the finding "{rule}"')
+    def found(context: Any, name: str, rule: str) -> None:
+        assert [finding.rule for finding in check_records(RECORDS[name])] == [rule]
+
+    @staticmethod
+    @then("records of {name} give no finding")
+    def clean(context: Any, name: str) -> None:
+        assert not check_records(RECORDS[name]), check_records(RECORDS[name])
+
+
+class SoakFaultSteps:
+    """Guards against soaks that cannot be repeated."""
+
+    @staticmethod
+    def _draw(seed: int) -> list[Any]:
+        hosts, upstreams = ["h1", "h2"], ["u1", "u2", "u3"]
+        return draw_faults(seed=seed, count=20, within_s=12.0, hosts=hosts, upstreams=upstreams)
+
+    @staticmethod
+    @given("the soak's faults of seeds {first:d} to {last:d}")
+    def drawn(context: Any, first: int, last: int) -> None:
+        context.drawn = {seed: SoakFaultSteps._draw(seed) for seed in range(first, last + 1)}
+
+    @staticmethod
+    @then("a second drawing gives the same faults")
+    def same(context: Any) -> None:
+        again = {seed: SoakFaultSteps._draw(seed) for seed in context.drawn}
+        assert again == context.drawn
+        assert len({tuple(faults) for faults in again.values()}) == len(again)
+
+    @staticmethod
+    @then("faults of one target do not overlap")
+    def apart(context: Any) -> None:
+        for faults in context.drawn.values():
+            ends: dict[str, float] = {}
+            for fault in faults:
+                assert fault.at_s >= ends.get(fault.target, 0.0), fault
+                ends[fault.target] = fault.at_s + fault.length_s
--- /dev/null
+++ b/features/steps/soak_standins_steps.py
@@ -0,0 +1,238 @@
+"""Steps of soak/standins.feature."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlencode
+
+import httpcore
+import trio
+from behave import given
+from behave import then
+from features.steps.emulator_http_steps import serve
+
+from acaciasaddle.emulator._json_http import request_json
+from acaciasaddle.emulator.soak import RecordFile
+from acaciasaddle.platform.standins import StoreApp
+from acaciasaddle.platform.standins import UpstreamApp
+from acaciasaddle.platform.standins import UpstreamSettings
+from acaciasaddle.platform.standins import caller_headers
+from acaciasaddle.platform.standins import is_own_answer
+
+ROWS = "/acaciasaddle/rows-tx"
+LATE_S = 0.2
+ENTRY_LIMIT_S = 5.0
+
+
+async def _write(address: str, key: str, ver: int) -> int:
+    row = {"table": "t", "part": "", "key": key}
+    value = base64.b64encode(b"value").decode()
+    body = {"expect": [{**row, "ver": ver}], "put": [{**row, "value": value}], "remove": []}
+    return (await request_json(address, "POST", ROWS, body))[0]
+
+
+async def _feed(address: str, after: int, wait_ms: int = 0) -> tuple[int, Any]:
+    query = urlencode({"table": "t", "after": after, "waitMs": wait_ms})
+    return await request_json(address, "GET", f"/acaciasaddle/rows-feed?{query}")
+
+
+async def _keys(address: str, table: str) -> list[str]:
+    query = urlencode({"table": table, "part": ""})
+    _, page = await request_json(address, "GET", f"/acaciasaddle/rows-get?{query}")
+    return [row["key"] for row in page["rows"]]
+
+
+class UsersStoreSteps:
+    """Guards against a store stand-in that accepts or tells what the real one would not."""
+
+    @staticmethod
+    @given("a users' store")
+    def store(context: Any) -> None:
+        context.build = StoreApp
+
+    @staticmethod
+    @then("a row is written under the condition that it does not exist, and not a second time")
+    def conditions(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            assert [await _write(address, "a", 0), await _write(address, "a", 0)] == [200, 412]
+
+        serve(StoreApp, use)
+
+    @staticmethod
+    @then("its feed tells the change at once, and a later change while it waits")
+    def feed(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await _write(address, "a", 0)
+            status, page = await _feed(address, 0)
+            assert (status, [row["key"] for row in page["rows"]]) == (200, ["a"])
+
+            async def later() -> None:
+                await trio.sleep(LATE_S)
+                await _write(address, "b", 0)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(later)
+                _, page = await _feed(address, page["ver"], wait_ms=5_000)
+            assert [row["key"] for row in page["rows"]] == ["b"]
+
+        serve(StoreApp, use)
+
+    @staticmethod
+    @then("after it forgot its history the feed answers 410")
+    def forgets(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await _write(address, "a", 0)
+            await _write(address, "b", 0)
+            await request_json(address, "POST", "/standin/forget", None)
+            assert [(await _feed(address, after))[0] for after in (1, 2)] == [410, 200]
+
+        serve(StoreApp, use)
+
+    @staticmethod
+    @then("a late write takes effect only if its condition still holds")
+    def late(context: Any) -> None:
+        async def attempt(address: str) -> None:
+            try:
+                await _write(address, "a", 0)
+            except OSError:
+                return
+            raise AssertionError("a late write was answered")
+
+        async def use(app: Any, address: str) -> None:
+            order = {"late": 2, "late_s": LATE_S}
+            await request_json(address, "POST", "/standin/faults", order)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(attempt, address)
+                nursery.start_soon(attempt, address)
+            _, page = await _feed(address, 0)
+            assert page["ver"] == 1, "both writes took effect"
+
+        serve(StoreApp, use)
+
+    @staticmethod
+    @then("entries of upstreams that fall silent are removed")
+    def expiry(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await request_json(address, "PUT", "/standin/entry/u1", {"any": "value"})
+            assert await _keys(address, "servers") == ["u1"]
+            with trio.move_on_after(ENTRY_LIMIT_S):
+                await app.expire()
+            assert await _keys(address, "servers") == []
+
+        serve(StoreApp, use)
+
+
+class UsersUpstreamSteps:
+    """Guards against an upstream stand-in that runs what it may not."""
+
+    @staticmethod
+    @given("a users' upstream")
+    def upstream(context: Any) -> None:
+        directory = tempfile.TemporaryDirectory()
+        context.add_cleanup(directory.cleanup)
+        path = Path(directory.name) / "u1.records"
+        settings = UpstreamSettings(
+            upstream_id="u1",
+            service="s",
+            data_centre="east",
+            address="127.0.0.1:1",
+            store_address="127.0.0.1:1",
+        )
+        context.build = lambda: UpstreamApp(settings=settings, records=RecordFile(path=path))
+
+    @staticmethod
+    async def _grant(address: str, *, fence: int = 5, hold_s: float = 5.0) -> int:
+        body = {"from": 0, "to": 99, "fence": fence, "holdS": hold_s}
+        return (await request_json(address, "POST", "/acaciasaddle/grant", body))[0]
+
+    @staticmethod
+    async def _read(address: str, *, target: str = "u1") -> httpcore.Response:
+        host, _, port = address.rpartition(":")
+        headers = caller_headers(request_id="r1", key=7, deadline_s=1.0)
+        headers.append((b"Target-Instance", target.encode()))
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = httpcore.URL(
+                scheme=b"http", host=host.encode(), port=int(port), target=b"/reads/1"
+            )
+            return await pool.request("GET", url, headers=headers)
+
+    @staticmethod
+    def _check(context: Any, use: Any) -> None:
+        serve(context.build, use)
+
+    @staticmethod
+    @then("it runs nothing before a grant")
+    def nothing(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            resp = await UsersUpstreamSteps._read(address)
+            assert resp.status == 421 and (b"not-executed", b"1") in resp.headers
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("it runs a request for a granted key with its signature")
+    def runs(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await UsersUpstreamSteps._grant(address)
+            resp = await UsersUpstreamSteps._read(address)
+            assert resp.status == 200 and is_own_answer("r1", b"", resp)
+            assert not is_own_answer("r2", b"", resp)
+            assert json.loads(resp.content)["digest"] == hashlib.sha256(b"r1").hexdigest()
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("it refuses a grant with a lower token")
+    def fenced(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            grants = [await UsersUpstreamSteps._grant(address, fence=fence) for fence in (5, 4, 5)]
+            assert grants == [200, 409, 200]
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("a release ends what it holds")
+    def released(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await UsersUpstreamSteps._grant(address)
+            body = {"from": 0, "to": 99, "fence": 6}
+            await request_json(address, "POST", "/acaciasaddle/release", body)
+            assert (await UsersUpstreamSteps._read(address)).status == 421
+            assert await UsersUpstreamSteps._grant(address) == 409
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("a lease of {seconds:g} s ends by itself")
+    def ends(context: Any, seconds: float) -> None:
+        async def use(app: Any, address: str) -> None:
+            await UsersUpstreamSteps._grant(address, hold_s=seconds)
+            await trio.sleep(seconds * 1.1)
+            assert (await UsersUpstreamSteps._read(address)).status == 421
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("a grant that arrived during a pause runs from the beginning of the pause")
+    def paused(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            app._awake_at = time.monotonic() - 2.0
+            await UsersUpstreamSteps._grant(address, hold_s=1.0)
+            assert (await UsersUpstreamSteps._read(address)).status == 421
+
+        UsersUpstreamSteps._check(context, use)
+
+    @staticmethod
+    @then("a request for another upstream is refused")
+    def other(context: Any) -> None:
+        async def use(app: Any, address: str) -> None:
+            await UsersUpstreamSteps._grant(address)
+            assert (await UsersUpstreamSteps._read(address, target="u2")).status == 421
+
+        UsersUpstreamSteps._check(context, use)
--- a/src/acaciasaddle/emulator/cli/_main.py
+++ b/src/acaciasaddle/emulator/cli/_main.py
@@ -7,6 +7,9 @@
 from acaciasaddle.emulator.cli._demo import demo
 from acaciasaddle.emulator.cli._load import load
 from acaciasaddle.emulator.cli._platform import platform
+from acaciasaddle.emulator.cli._soak import soak
+from acaciasaddle.emulator.cli._soak import users_store
+from acaciasaddle.emulator.cli._soak import users_upstream
 from acaciasaddle.emulator.cli._upstream import upstream
 from acaciasaddle.observe import configure_logs
 
@@ -23,3 +26,6 @@
 main.add_command(upstream)
 main.add_command(load)
 main.add_command(demo)
+main.add_command(soak)
+main.add_command(users_store)
+main.add_command(users_upstream)
--- /dev/null
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -0,0 +1,122 @@
+"""Subcommand ``soak``, and the stand-ins of the users' platform that it starts."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import click
+import msgspec
+import trio
+
+from acaciasaddle.emulator._serve import run_server
+from acaciasaddle.emulator.soak import RecordFile
+from acaciasaddle.emulator.soak import SoakTerms
+from acaciasaddle.emulator.soak import run_soak
+from acaciasaddle.platform.standins import StoreApp
+from acaciasaddle.platform.standins import UpstreamApp
+from acaciasaddle.platform.standins import UpstreamSettings
+
+ADDRESS = "127.0.0.1:0"
+
+
+@click.command()
+@click.option("--seed", type=int, default=1, show_default=True, help="First seed.")
+@click.option("--seeds", type=click.IntRange(min=1), default=1, help="Number of seeds to run.")
+@click.option("--hosts", type=click.IntRange(1, 40), default=4, show_default=True)
+@click.option("--upstreams", type=click.IntRange(1, 100), default=6, show_default=True)
+@click.option("--callers", type=click.IntRange(1, 100), default=8, show_default=True)
+@click.option("--faults", type=click.IntRange(min=0), default=10, show_default=True)
+@click.option("--within", type=click.FloatRange(min=1), default=12.0, help="Seconds of faults.")
+@click.option(
+    "--directory",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Keeps settings, logs and records there, below the seed.",
+)
+def soak(
+    seed: int,
+    seeds: int,
+    hosts: int,
+    upstreams: int,
+    callers: int,
+    faults: int,
+    within: float,
+    directory: Path | None,
+) -> None:
+    """Run nodes, a store and upstreams under faults drawn from a seed.
+
+    Exits with 1 if a promise was broken.
+
+    \b
+    Example:
+      acaciasaddle-emulator soak --seed 1 --seeds 50 --directory /tmp/soak
+    """
+    failed = []
+    for number in range(seed, seed + seeds):
+        terms = SoakTerms(
+            seed=number,
+            hosts=hosts,
+            upstreams=upstreams,
+            callers=callers,
+            faults=faults,
+            within_s=within,
+        )
+        if not _run_one(terms, directory):
+            failed.append(number)
+    click.echo(f"{seeds - len(failed)} seeds kept all promises, failed: {failed or 'none'}")
+    if failed:
+        raise SystemExit(1)
+
+
+def _run_one(terms: SoakTerms, directory: Path | None) -> bool:
+    with tempfile.TemporaryDirectory() as scratch:
+        path = directory / str(terms.seed) if directory is not None else Path(scratch)
+        path.mkdir(parents=True, exist_ok=True)
+        result = trio.run(run_soak, terms, path)
+    click.echo(f"seed {terms.seed}: attempts {dict(sorted(result.outcomes.items()))}")
+    for finding in result.findings:
+        click.echo(f"seed {terms.seed}: {finding.rule}: {finding.detail}")
+    return not result.findings
+
+
+@click.command("users-store")
+@click.option("--address", default=ADDRESS, show_default=True, help="ip:port; 0: any port.")
+def users_store(address: str) -> None:
+    """Run a stand-in of the users' store.
+
+    Prints {"ready": "ip:port"} when it listens.
+    """
+
+    async def main() -> None:
+        app = StoreApp()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app.expire)
+            await run_server(app, address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@click.command("users-upstream")
+@click.argument("settings", type=click.Path(path_type=Path, exists=True))
+@click.option("--records", type=click.Path(path_type=Path), required=True)
+@click.option("--address", default=ADDRESS, show_default=True, help="ip:port; 0: any port.")
+def users_upstream(settings: Path, records: Path, address: str) -> None:
+    """Run a stand-in of an upstream on the users' platform.
+
+    Prints {"ready": "ip:port"} when it listens. On SIGTERM it reports that it leaves, serves on for
+    some seconds and ends.
+    """
+
+    async def main() -> None:
+        app = UpstreamApp(
+            settings=msgspec.json.decode(settings.read_bytes(), type=UpstreamSettings),
+            records=RecordFile(path=records),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app.report)
+            nursery.start_soon(app.note_pauses)
+            await run_server(app, address, before_stop=app.drain)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- /dev/null
+++ b/src/acaciasaddle/emulator/soak/__init__.py
@@ -0,0 +1,27 @@
+"""Runs nodes, a store and upstreams as processes, injects faults, and checks the promises."""
+
+from __future__ import annotations
+
+from acaciasaddle.emulator.soak._checks import Finding
+from acaciasaddle.emulator.soak._checks import check_records
+from acaciasaddle.emulator.soak._faults import Fault
+from acaciasaddle.emulator.soak._faults import draw_faults
+from acaciasaddle.emulator.soak._records import RecordFile
+from acaciasaddle.emulator.soak._relay import Relay
+from acaciasaddle.emulator.soak._relay import RelayFaults
+from acaciasaddle.emulator.soak._run import SoakResult
+from acaciasaddle.emulator.soak._run import SoakTerms
+from acaciasaddle.emulator.soak._run import run_soak
+
+__all__ = [
+    "Fault",
+    "Finding",
+    "RecordFile",
+    "Relay",
+    "RelayFaults",
+    "SoakResult",
+    "SoakTerms",
+    "check_records",
+    "draw_faults",
+    "run_soak",
+]
--- /dev/null
+++ b/src/acaciasaddle/emulator/soak/_callers.py
@@ -0,0 +1,132 @@
+"""Callers of a soak: they send requests over kept connections and record what became of them."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import httpcore
+import trio
+
+from acaciasaddle.platform.standins import DEPOSITS
+from acaciasaddle.platform.standins import NOT_RUN_STATUSES
+from acaciasaddle.platform.standins import READS
+from acaciasaddle.platform.standins import caller_headers
+from acaciasaddle.platform.standins import is_own_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from acaciasaddle.emulator.soak._records import RecordFile
+
+DEADLINE_S = 2.0
+PATIENCE_S = 4.0
+"""A caller waits this much longer than its deadline for an answer."""
+PAUSE_S = 0.05
+DEPOSIT_SHARE = 0.4
+HOT_KEYS = 40
+HOT_SHARE = 0.5
+"""Half of the requests are for a few keys that lie close together."""
+KEYS = 65_536
+
+
+class Connection:
+    """A connection to one host that is opened anew after any trouble."""
+
+    def __init__(self, *, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._origin = httpcore.Origin(b"http", host.encode(), self._port)
+        self._conn: httpcore.AsyncHTTP11Connection | None = None
+
+    async def send(
+        self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> httpcore.Response | None:
+        """Send a request; returns the whole response, or ``None`` if there was none in time."""
+        url = httpcore.URL(
+            scheme=b"http", host=self._host.encode(), port=self._port, target=target.encode()
+        )
+        length = [(b"Content-Length", str(len(body)).encode())] if body else []
+        req = httpcore.Request(method, url, headers=headers + length, content=body)
+        try:
+            with trio.fail_after(DEADLINE_S + PATIENCE_S):
+                if self._conn is None or not self._conn.is_available():
+                    await self.aclose()
+                    self._conn = httpcore.AsyncHTTP11Connection(
+                        origin=self._origin,
+                        stream=await httpcore.TrioBackend().connect_tcp(self._host, self._port),
+                    )
+                resp = await self._conn.handle_async_request(req)
+                await resp.aread()
+                await resp.aclose()
+                return resp
+        except (trio.TooSlowError, httpcore.NetworkError, httpcore.ProtocolError, OSError):
+            await self.aclose()
+            return None
+
+    async def aclose(self) -> None:
+        """Close the connection, if there is one."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            with trio.CancelScope(shield=True):
+                await conn.aclose()
+
+
+async def call(
+    *,
+    number: int,
+    seed: int,
+    hosts: Callable[[], dict[str, str]],
+    records: RecordFile,
+) -> None:
+    """Send requests as one caller until cancelled; ``hosts`` maps ids to addresses to use."""
+    rng = random.Random(f"{seed}/{number}")
+    sent = 0
+    conns: dict[str, Connection] = {}
+    while True:
+        await trio.sleep(rng.expovariate(1 / PAUSE_S))
+        known = hosts()
+        if not known:
+            continue
+        host_id = rng.choice(sorted(known))
+        address = known[host_id]
+        conn = conns.setdefault(address, Connection(address=address))
+        sent += 1
+        request_id = f"{number}-{sent}"
+        once = rng.random() < DEPOSIT_SHARE
+        key = rng.randrange(HOT_KEYS if rng.random() < HOT_SHARE else KEYS)
+        started = time.monotonic()
+        resp = await send(conn, request_id=request_id, key=key, once=once)
+        records.add(
+            "attempt",
+            id=request_id,
+            once=once,
+            key=key,
+            host=host_id,
+            started=started,
+            status=resp.status if resp else 0,
+            outcome=outcome(request_id, _body(request_id, once), resp),
+        )
+
+
+async def send(
+    conn: Connection, *, request_id: str, key: int, once: bool
+) -> httpcore.Response | None:
+    """Send one request of a caller."""
+    target = f"{DEPOSITS if once else READS}{request_id}"
+    headers = caller_headers(request_id=request_id, key=key, deadline_s=DEADLINE_S)
+    return await conn.send("POST" if once else "GET", target, headers, _body(request_id, once))
+
+
+def _body(request_id: str, once: bool) -> bytes:
+    return f"deposit {request_id}".encode() if once else b""
+
+
+def outcome(request_id: str, body: bytes, resp: httpcore.Response | None) -> str:
+    """Return ``completed``, ``foreign``, ``not-run`` or ``unknown``."""
+    if resp is None:
+        return "unknown"
+    if 200 <= resp.status < 300:
+        return "completed" if is_own_answer(request_id, body, resp) else "foreign"
+    return "not-run" if resp.status in NOT_RUN_STATUSES else "unknown"
--- /dev/null
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -0,0 +1,221 @@
+"""The processes of a soak: a store, upstreams behind relays, and nodes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from acaciasaddle.emulator._fleet import FleetError
+from acaciasaddle.emulator._fleet import free_port
+from acaciasaddle.emulator._json_http import request_json
+from acaciasaddle.emulator.soak._records import RecordFile
+from acaciasaddle.emulator.soak._relay import Relay
+from acaciasaddle.platform.standins import SERVICE
+from acaciasaddle.platform.standins import UpstreamSettings
+from acaciasaddle.platform.standins import configuration_body
+
+START_LIMIT_S = 30.0
+POLL_S = 0.05
+STOP_LIMIT_S = 12.0
+"""A node has 6 s of grace and ends within a few more, also on a busy machine."""
+DATA_CENTRES = ("east", "west")
+NODE = ("-m", "acaciasaddle.node")
+
+
+@dataclass(slots=True, kw_only=True)
+class Member:
+    """A process that is started, stopped and started again."""
+
+    name: str
+    command: list[str]
+    process: trio.Process | None = None
+    wanted: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class Deployment:
+    """All processes and relays of a soak; ``node`` are the arguments that run a node."""
+
+    directory: Path
+    records: RecordFile
+    nursery: trio.Nursery
+    node: tuple[str, ...] = NODE
+    fail_share: float = 0.0
+    members: dict[str, Member] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    readiness: dict[str, str] = field(default_factory=dict)
+    relays: dict[str, Relay] = field(default_factory=dict)
+    store: str = ""
+    version: int = 0
+    extra_routes: int = 0
+
+    async def start(self, *, hosts: list[str], upstreams: list[str]) -> None:
+        """Start everything and wait until all hosts are ready."""
+        command = [sys.executable, "-m", "acaciasaddle.emulator", "users-store"]
+        self.members["store"] = Member(name="store", command=command)
+        self.store = await self._start_listening(self.members["store"])
+        await self.change_configuration()
+        async with trio.open_nursery() as nursery:
+            for index, name in enumerate(upstreams):
+                nursery.start_soon(self._add_upstream, name, index)
+            for index, name in enumerate(hosts):
+                nursery.start_soon(self._add_host, name, index)
+
+    async def _add_upstream(self, name: str, index: int) -> None:
+        relay = self.relays[f"way to {name}"] = Relay()
+        settings = UpstreamSettings(
+            upstream_id=name,
+            service=SERVICE,
+            data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
+            address=await self.nursery.start(relay.run),
+            store_address=self.store,
+            fail_share=self.fail_share,
+        )
+        path = self.directory / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        command = [sys.executable, "-m", "acaciasaddle.emulator", "users-upstream", str(path)]
+        command += ["--records", str(self.directory / f"{name}.records")]
+        self.members[name] = Member(name=name, command=command)
+        await self.start_member(name)
+
+    async def _add_host(self, name: str, index: int) -> None:
+        relay = self.relays[f"store of {name}"] = Relay(target=self.store)
+        caller, readiness = (f"127.0.0.1:{free_port()}" for _ in range(2))
+        settings = {
+            "host_id": name,
+            "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+            "caller_address": caller,
+            "readiness_address": readiness,
+            "ip": "127.0.0.1",
+            "ports": [free_port(), free_port()],
+            "platform_address": await self.nursery.start(relay.run),
+        }
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.members[name] = Member(name=name, command=[sys.executable, *self.node, str(path)])
+        self.addresses[name], self.readiness[name] = caller, readiness
+        await self.start_member(name)
+        await self._wait_answer(name, ready=True)
+
+    async def _wait_answer(self, name: str, *, ready: bool) -> None:
+        """Wait until a host says that it is ready, or says anything at all."""
+        with trio.move_on_after(START_LIMIT_S):
+            while True:
+                try:
+                    status, _ = await request_json(self.readiness[name], "GET", "/")
+                except OSError:
+                    status = 0
+                if status == 200 or (status and not ready):
+                    return
+                await trio.sleep(POLL_S)
+        raise FleetError("host does not start", step="soak.start", peer=name)
+
+    async def start_member(self, name: str) -> None:
+        """Start an upstream or a host, for the first time or again."""
+        member = self.members[name]
+        relay = self.relays.get(f"way to {name}")
+        if relay is not None:
+            relay.target = await self._start_listening(member)
+        else:
+            member.process = await self._open(member)
+            # A signal during the interpreter's own start ends the process without a trace.
+            await self._wait_answer(name, ready=False)
+        member.wanted = True
+
+    def pause(self, name: str) -> None:
+        """Suspend a process."""
+        self._signal(name, signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Resume a suspended process."""
+        self._signal(name, signal.SIGCONT)
+
+    async def end(self, name: str, signum: int) -> bool:
+        """End a process by a signal; returns whether it ended in time, killing it otherwise."""
+        member = self.members[name]
+        process = member.process
+        assert process is not None
+        member.wanted = False
+        self._signal(name, signum)
+        with trio.move_on_after(STOP_LIMIT_S) as waiting:
+            await process.wait()
+        if waiting.cancelled_caught:
+            process.kill()
+            await process.wait()
+        relay = self.relays.get(f"way to {name}")
+        if relay is not None:
+            relay.target = ""
+            relay.reset()
+        self.records.add("dead", upstream=name, code=process.returncode)
+        return not waiting.cancelled_caught
+
+    def gone(self) -> list[str]:
+        """Return what ended on its own: names and exit codes."""
+        return [
+            f"{member.name} exited with {member.process.returncode}"
+            for member in self.members.values()
+            if member.wanted and member.process is not None and member.process.poll() is not None
+        ]
+
+    def hosts(self) -> dict[str, str]:
+        """Return the addresses of the hosts whose processes run, paused ones included."""
+        return {
+            name: address
+            for name, address in self.addresses.items()
+            if (process := self.members[name].process) is not None and process.poll() is None
+        }
+
+    async def change_configuration(self) -> None:
+        """Write the next version, with one route more."""
+        self.version += 3
+        self.extra_routes += 1
+        body = configuration_body(version=self.version, extra_routes=self.extra_routes)
+        await self.order_store("configuration", json.loads(body))
+
+    async def order_store(self, call: str, body: Any) -> None:
+        """Give an order to the store stand-in."""
+        status, _ = await request_json(self.store, "POST", f"/standin/{call}", body)
+        if status != 200:
+            raise FleetError(f"answered with status {status}", step=f"soak.{call}", peer="store")
+
+    async def stop(self) -> None:
+        """End all processes that were started."""
+        with trio.CancelScope(shield=True):
+            for member in self.members.values():
+                if member.process is not None and member.process.poll() is None:
+                    member.process.kill()
+                    await member.process.wait()
+
+    def _signal(self, name: str, signum: int) -> None:
+        process = self.members[name].process
+        if process is not None and process.poll() is None:
+            process.send_signal(signum)
+
+    async def _start_listening(self, member: Member) -> str:
+        process = member.process = await self._open(member, stdout=subprocess.PIPE)
+        assert process.stdout is not None
+        line = b""
+        with trio.move_on_after(START_LIMIT_S):
+            while not line.endswith(b"\n") and (chunk := await process.stdout.receive_some(1024)):
+                line += chunk
+        if not line.endswith(b"\n"):
+            raise FleetError("process does not start", step="soak.start", peer=member.name)
+        return str(json.loads(line)["ready"])
+
+    async def _open(self, member: Member, **options: Any) -> trio.Process:
+        path = self.directory / f"{member.name}.log"
+        with path.open("ab") as log_file:
+            return await trio.lowlevel.open_process(
+                member.command,
+                **{"stdout": log_file, "stderr": log_file, "env": dict(os.environ), **options},
+            )
--- /dev/null
+++ b/src/acaciasaddle/emulator/soak/_records.py
@@ -0,0 +1,31 @@
+"""Records of one soak as lines of JSON, written at once so that a killed process loses none."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class RecordFile:
+    """Appends records. ``at`` is the monotonic clock in seconds, the same for all processes."""
+
+    def __init__(self, *, path: Path) -> None:
+        self._file = path.open("a", encoding="utf-8", buffering=1)
+
+    def add(self, kind: str, **fields: Any) -> None:
+        """Append a record."""
+        line = {"kind": kind, "at": time.monotonic(), **fields}
+        self._file.write(json.dumps(line) + "\n")
+
+
+def read_records(directory: Path) -> list[dict[str, Any]]:
+    """Return the records of all files of a soak by time; an incomplete last line is left out."""
+    lines = [
+        line for path in directory.glob("*.records") for line in path.read_bytes().split(b"\n")[:-1]
+    ]
+    return sorted((json.loads(line) for line in lines), key=lambda record: float(record["at"]))
--- /dev/null
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -0,0 +1,31 @@
+"""Stand-ins of the users' store and upstreams, for the soak; nodes do not import them."""
+
+from __future__ import annotations
+
+from acaciasaddle.platform.standins._messages import DEPOSITS
+from acaciasaddle.platform.standins._messages import NOT_RUN_STATUSES
+from acaciasaddle.platform.standins._messages import READS
+from acaciasaddle.platform.standins._messages import SERVICE
+from acaciasaddle.platform.standins._messages import caller_headers
+from acaciasaddle.platform.standins._messages import configuration_body
+from acaciasaddle.platform.standins._messages import extra_path
+from acaciasaddle.platform.standins._store_app import StoreApp
+from acaciasaddle.platform.standins._store_app import StoreFaults
+from acaciasaddle.platform.standins._upstream_app import UpstreamApp
+from acaciasaddle.platform.standins._upstream_app import UpstreamSettings
+from acaciasaddle.platform.standins._upstream_app import is_own_answer
+
+__all__ = [
+    "DEPOSITS",
+    "NOT_RUN_STATUSES",
+    "READS",
+    "SERVICE",
+    "StoreApp",
+    "StoreFaults",
+    "UpstreamApp",
+    "UpstreamSettings",
+    "caller_headers",
+    "configuration_body",
+    "extra_path",
+    "is_own_answer",
+]
--- /dev/null
+++ b/src/acaciasaddle/platform/standins/_messages.py
@@ -0,0 +1,70 @@
+"""What operators and callers send on the users' platform, built from the soak's own terms."""
+
+from __future__ import annotations
+
+import json
+
+from acaciasaddle.platform import _wire
+
+HOST = "soak.example"
+SERVICE = "ledger"
+READS = "/reads/"
+"""Requests below this path may run more than once."""
+DEPOSITS = "/deposits/"
+"""Requests below this path run at most once for each attempt of a caller."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""With these the product promises that the request has not run and never will."""
+
+
+def configuration_body(*, version: int, extra_routes: int) -> bytes:
+    """Return an operator's configuration with a number of further routes, ``/extra-0/`` and on."""
+    prefixes = [(READS, "idempotent", 0), (DEPOSITS, "non_idempotent", 1)]
+    prefixes += [(extra_path(index), "idempotent", 2) for index in range(extra_routes)]
+    paths = [
+        {
+            "name": prefix.strip("/"),
+            "prefix": prefix,
+            "routeType": kind,
+            "timeoutS": 3.0,
+            "targetLatencyS": 0.5,
+            "maxAttempts": 3,
+            "priority": rank,
+            "service": SERVICE,
+        }
+        for prefix, kind, rank in prefixes
+    ]
+    value = {
+        "version": version,
+        "virtualHosts": [{"host": HOST, "paths": paths}],
+        "services": [
+            {
+                "name": SERVICE,
+                "healthPath": "/healthz",
+                "maxConnections": 130,
+                "sharded": True,
+                "warmupS": 0.0,
+            }
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_048_576,
+            "headerTimeoutS": 5.0,
+            "idleTimeoutS": 15.0,
+        },
+    }
+    return json.dumps(value).encode()
+
+
+def extra_path(index: int) -> str:
+    """Return the prefix of one of the further routes."""
+    return f"/extra-{index}/"
+
+
+def caller_headers(*, request_id: str, key: int, deadline_s: float) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a caller's attempt."""
+    return [
+        (b"Host", HOST.encode()),
+        (_wire.REQUEST_ID.encode(), request_id.encode()),
+        (_wire.DEADLINE_MS.encode(), str(int(deadline_s * 1000)).encode()),
+        (_wire.KEY.encode(), str(key).encode()),
+    ]
--- /dev/null
+++ b/src/acaciasaddle/platform/standins/_store_app.py
@@ -0,0 +1,200 @@
+"""Stand-in of the users' store: rows, their feed, and faults ordered over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+from bisect import bisect_right
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+import trio
+
+from acaciasaddle.emulator._asgi import AsgiApp
+from acaciasaddle.emulator._asgi import not_found
+from acaciasaddle.platform import _wire
+
+if TYPE_CHECKING:
+    from acaciasaddle.emulator._asgi import Exchange
+
+EXPIRY_S = 3.0
+"""Entries of upstreams that have not reported for three intervals of 1 s are removed."""
+EXPIRY_POLL_S = 0.2
+MAX_WAIT_MS = 30_000.0
+
+
+class StoreFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults that are switched on.
+
+    ``refuses`` is the status of all answers while it is not 0. Answers to the next ``lose_answers``
+    transactions are lost; the next ``late`` ones are not answered, and performed ``late_s`` seconds
+    later if their condition still holds.
+    """
+
+    refuses: int = 0
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    late: int = 0
+    late_s: float = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Row:
+    table: str
+    key: str
+    value: str
+    ver: int
+    deleted: bool = False
+
+    def to_json(self) -> dict[str, Any]:
+        row: dict[str, Any] = {"table": self.table, "part": "", "key": self.key, "ver": self.ver}
+        return {**row, "deleted": True} if self.deleted else {**row, "value": self.value}
+
+
+class StoreApp(AsgiApp):
+    """Serves the calls that the product makes, and below ``/standin`` those of the soak."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], _Row] = {}
+        self._history: list[_Row] = []
+        self._kept_after = 0
+        self._ver = 0
+        self._changed = trio.Event()
+        self._reported_at: dict[str, float] = {}
+        self._faults = StoreFaults()
+
+    async def expire(self) -> None:
+        """Remove the entries of silent upstreams for as long as it runs."""
+        while True:
+            await trio.sleep(EXPIRY_POLL_S)
+            now = trio.current_time()
+            if self._faults.refuses:
+                # Nobody can report; nobody is taken for silent.
+                self._reported_at = dict.fromkeys(self._reported_at, now)
+            for name, at in list(self._reported_at.items()):
+                if now - at > EXPIRY_S:
+                    self._remove_entry(name)
+
+    async def handle(self, exchange: Exchange) -> None:
+        call = exchange.path.removeprefix(_wire.STORE_PREFIX + "/")
+        if exchange.path.startswith("/standin/"):
+            await self._standin(exchange, exchange.path.removeprefix("/standin/"))
+            return
+        body = await exchange.body()
+        await trio.sleep(self._faults.delay_s / 2)
+        if self._faults.refuses:
+            await exchange.answer_json(self._faults.refuses, {})
+        elif call == "rows-tx" and exchange.method == "POST":
+            await self._transact(exchange, json.loads(body))
+        elif call == "rows-get":
+            rows = [
+                row.to_json()
+                for (table, _), row in sorted(self._rows.items())
+                if table == exchange.query["table"]
+            ]
+            await self._answer(exchange, {"ver": self._ver, "rows": rows, "truncated": False})
+        elif call == "rows-feed":
+            await self._feed(exchange)
+        else:
+            raise not_found(exchange)
+
+    async def _answer(self, exchange: Exchange, value: Any, status: int = 200) -> None:
+        await trio.sleep(self._faults.delay_s / 2)
+        await exchange.answer_json(status, value)
+
+    async def _feed(self, exchange: Exchange) -> None:
+        table, after = exchange.query["table"], int(exchange.number("after", 0))
+        with trio.move_on_after(min(exchange.number("waitMs", 0.0), MAX_WAIT_MS) / 1000):
+            while not self._faults.refuses and not self._changes(table, after):
+                await self._changed.wait()
+        if after < self._kept_after:
+            await self._answer(exchange, {}, status=410)
+            return
+        rows = [row.to_json() for row in self._changes(table, after)]
+        await self._answer(exchange, {"ver": self._ver, "rows": rows, "truncated": False})
+
+    def _changes(self, table: str, after: int) -> list[_Row]:
+        start = bisect_right(self._history, after, key=lambda row: row.ver)
+        latest = {row.key: row for row in self._history[start:] if row.table == table}
+        return sorted(latest.values(), key=lambda row: row.ver)
+
+    async def _transact(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        if self._faults.late > 0:
+            self._faults.late -= 1
+            await trio.sleep(self._faults.late_s)
+            self._apply(body)
+            await exchange.close_without_answer()
+            return
+        ver = self._apply(body)
+        if ver is None:
+            await self._answer(exchange, {"rows": []}, status=412)
+        elif self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            await exchange.close_without_answer()
+        else:
+            await self._answer(exchange, {"ver": ver})
+
+    def _apply(self, body: dict[str, Any]) -> int | None:
+        """Apply a transaction; returns its version, or ``None`` if a condition fails."""
+        for row in body["expect"]:
+            found = self._rows.get((row["table"], row["key"]))
+            if (found.ver if found else 0) != row["ver"]:
+                return None
+        self._ver += 1
+        for row in body["put"]:
+            self._put(row["table"], row["key"], row["value"])
+        return self._ver
+
+    def _put(self, table: str, key: str, value: str | None) -> None:
+        row = _Row(table=table, key=key, value=value or "", ver=self._ver, deleted=value is None)
+        if value is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = row
+        self._history.append(row)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    # Calls of the soak and of the upstream stand-ins.
+
+    async def _standin(self, exchange: Exchange, call: str) -> None:
+        body = await exchange.body()
+        if call == "faults":
+            self._faults = msgspec.json.decode(body, type=StoreFaults)
+            self._changed.set()
+            self._changed = trio.Event()
+        elif call == "forget":
+            self._kept_after, self._history = self._ver, []
+        elif call == "configuration":
+            self._ver += 1
+            value = base64.b64encode(body).decode()
+            self._put(_wire.CONFIGURATION_TABLE, _wire.CONFIGURATION_KEY, value)
+        elif call.startswith("entry/"):
+            status = self._entry(call.removeprefix("entry/"), body)
+            await exchange.answer_json(status, {})
+            return
+        else:
+            raise not_found(exchange)
+        await exchange.answer_json(200, {"ver": self._ver})
+
+    def _entry(self, name: str, body: bytes) -> int:
+        """Take a report of an upstream; one without a body ends it."""
+        if self._faults.refuses:
+            return self._faults.refuses
+        if not body:
+            self._remove_entry(name)
+            return 200
+        self._reported_at[name] = trio.current_time()
+        value = base64.b64encode(body).decode()
+        found = self._rows.get((_wire.REGISTRY_TABLE, name))
+        if found is None or found.value != value:
+            self._ver += 1
+            self._put(_wire.REGISTRY_TABLE, name, value)
+        return 200
+
+    def _remove_entry(self, name: str) -> None:
+        if self._reported_at.pop(name, None) is not None:
+            self._ver += 1
+            self._put(_wire.REGISTRY_TABLE, name, None)
