Move keys on when their new owner is lost during a write

A round that was writing owners meanwhile put its older copy back, with the range still moving, and as its move counted as under way, nobody carried it out again. A grant that was refused for its token left its range in the same state. Ruled out: the lease of the previous owner (released at 21.3 s), the store (version 110 was written), the upstream's restart (its other ranges moved on).

Both cases now go the way of a finished move: the next round settles the range, sees that its owner is lost, and moves it.

--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -46,6 +46,21 @@
     And all keys are owned
     And keys were without an owner for at most 1.2 s
 
+  Scenario Outline: the upstream that keys move to is lost while the owners are written
+    Given each call of the store takes <call> s
+    When after 1 s upstream "u2" drains
+    And after 0 s upstream "u3" falls silent
+    And after <pause> s upstream "u4" drains
+    And the key fleet runs for 14 s
+    Then no key had two owners
+    And all keys are owned
+
+    Examples:
+      | call | pause |
+      | 0.3  | 1.2   |
+      | 0.4  | 1.4   |
+      | 0.4  | 2.4   |
+
   Scenario: keys stay owned when the coordinator is killed
     When after 1 s the coordinator is killed
     And the key fleet runs for 8 s
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -33,6 +33,13 @@
         context.script = []
         context.first_leader = ""
 
+    @staticmethod
+    @given("each call of the store takes {seconds:g} s")
+    def slow_store(context: Any, seconds: float) -> None:
+        for host in context.key_fleet.hosts:
+            host.table.faults.store = StoreState.SLOW
+            host.table.faults.delay_ms = seconds * 1000
+
     @staticmethod
     @when('after {pause:g} s upstream "{name}" drains')
     def drain(context: Any, pause: float, name: str) -> None:
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -118,6 +118,7 @@
             max_lease_s=max_lease_s,
             metrics=self._metrics,
         )
+        # Moves that have ended, either granted or given up, until the next round writes it.
         self._completed: list[KeyChange] = []
         self._joined_at: dict[str, float] = {}
         self._under_way: set[tuple[str, int]] = set()
@@ -360,6 +361,7 @@
             except FencedError as exc:
                 log.warning("grant refused", reason=str(exc), fence=span.fence)
                 self._grants.tenure(span.owner).lost = True
+                self._completed.append(change)
                 return
             except UpstreamError as exc:
                 log.warning("grant failed", reason=str(exc), fence=span.fence)
@@ -367,7 +369,8 @@
                 if tenure.failed(now=self._clock.now(), lost_after_s=LOST_AFTER_S):
                     log.warning("upstream lost", upstream=span.owner.life.upstream_id)
                 if tenure.lost:
-                    self._abandon(change)
+                    # The next round moves the keys on, since it does not use a lost upstream.
+                    self._completed.append(change)
                     return
                 await trio.sleep(RELEASE_RETRY_S)
                 continue
@@ -375,14 +378,6 @@
             self._metrics.timing("keyspace.move_time", (self._clock.now() - started) * 1000)
             return
 
-    def _abandon(self, change: KeyChange) -> None:
-        """Let the next round move keys again whose new owner cannot be reached."""
-        owners = self._owners[change.service]
-        settled = replace(change.span, moving=False, previous=None)
-        self._owners[change.service] = owners.replaced(
-            change.span.keys, [settled], fence=owners.fence
-        )
-
 
 def _settled(owners: KeyMap, span: Span) -> KeyMap:
     """Return the map with a move marked as done."""
