End a stopped soak with all its processes

Cause: SIGTERM at the soak left its nodes, upstreams and store behind; they had to be ended by id. Ruled out: SIGINT alone, which a shell's background jobs ignore.

A signal ends the soak like any other error, so that its processes are ended, and the command says in one line what happened.

--- a/features/soak/runs.feature
+++ b/features/soak/runs.feature
@@ -18,3 +18,7 @@
       | does not stop                      | no faults                 | does-not-stop      |
       | ends when the store fails          | a store that fails        | exited             |
     Then the soak finds the rule of each defect broken
+
+  Scenario: a soak that is stopped leaves no process behind
+    When the command soak gets SIGTERM while its processes run
+    Then it ends with 1 and says so, and no process of it is left
--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -23,6 +26,8 @@
 RECOVERY_S = 5.0
 AT_ONCE = 4
 """Soaks of six processes each that run at the same time."""
+START_LIMIT_S = 30.0
+POLL_S = 0.05
 
 
 def _fault(target: str, name: str) -> Fault:
@@ -96,3 +101,44 @@
             if rule not in {finding.rule for finding in result.findings}
         }
         assert not missed, missed
+
+
+class StoppedSoakSteps:
+    """Guards against processes that go on after the soak that started them."""
+
+    @staticmethod
+    def _commands(mark: str) -> list[str]:
+        """Return the command lines of processes that name a path."""
+        found = []
+        for path in Path("/proc").glob("[0-9]*/cmdline"):
+            try:
+                found.append(path.read_bytes().replace(b"\0", b" ").decode("utf-8", "replace"))
+            except OSError:
+                continue
+        return [command for command in found if mark in command]
+
+    @staticmethod
+    @when("the command soak gets SIGTERM while its processes run")
+    def stopped(context: Any) -> None:
+        steps = StoppedSoakSteps
+        with tempfile.TemporaryDirectory() as directory:
+            command = [sys.executable, "-m", "acaciasaddle.emulator", "soak", "--hosts", "1"]
+            process = subprocess.Popen(
+                [*command, "--upstreams", "1", "--directory", directory],
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+            )
+            ends_at = time.monotonic() + START_LIMIT_S
+            while time.monotonic() < ends_at and not steps._commands(f"{directory}/1/host-1.json"):
+                time.sleep(POLL_S)
+            context.running = steps._commands(f"{directory}/1/")
+            process.terminate()
+            context.said = process.communicate(timeout=START_LIMIT_S)[0].decode()
+            context.exit_code, context.left = process.returncode, steps._commands(directory)
+
+    @staticmethod
+    @then("it ends with 1 and says so, and no process of it is left")
+    def nothing_left(context: Any) -> None:
+        assert len(context.running) == 2, context.running
+        assert (context.exit_code, context.left) == (1, []), (context.exit_code, context.left)
+        assert "stopped by signal 15" in context.said, context.said
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from acaciasaddle.emulator._fleet import FleetError
 from acaciasaddle.emulator._serve import run_server
 from acaciasaddle.emulator.soak import RecordFile
 from acaciasaddle.emulator.soak import SoakTerms
@@ -45,7 +46,8 @@
 ) -> None:
     """Run nodes, a store and upstreams under faults drawn from a seed.
 
-    Exits with 1 if a promise was broken.
+    Exits with 1 if a promise was broken, or if a process did not start. SIGTERM and SIGINT end all
+    processes that were started.
 
     \b
     Example:
@@ -72,13 +74,24 @@
     with tempfile.TemporaryDirectory() as scratch:
         path = directory / str(terms.seed) if directory is not None else Path(scratch)
         path.mkdir(parents=True, exist_ok=True)
-        result = trio.run(run_soak, terms, path)
+        try:
+            result = trio.run(run_soak, terms, path)
+        except* FleetError as group:
+            raise click.ClickException(f"seed {terms.seed}: {_messages(group)}") from None
     click.echo(f"seed {terms.seed}: attempts {dict(sorted(result.outcomes.items()))}")
     for finding in result.findings:
         click.echo(f"seed {terms.seed}: {finding.rule}: {finding.detail}")
     return not result.findings
 
 
+def _messages(group: BaseExceptionGroup[BaseException]) -> str:
+    """Return the messages of all errors in a group, nested ones included."""
+    return "; ".join(
+        _messages(exc) if isinstance(exc, BaseExceptionGroup) else str(exc)
+        for exc in group.exceptions
+    )
+
+
 @click.command("users-store")
 @click.option("--address", default=ADDRESS, show_default=True, help="ip:port; 0: any port.")
 def users_store(address: str) -> None:
--- a/src/acaciasaddle/emulator/soak/_records.py
+++ b/src/acaciasaddle/emulator/soak/_records.py
@@ -22,6 +22,10 @@
         line = {"kind": kind, "at": time.monotonic(), **fields}
         self._file.write(json.dumps(line) + "\n")
 
+    def close(self) -> None:
+        """Called when no more records follow."""
+        self._file.close()
+
 
 def read_records(directory: Path) -> list[dict[str, Any]]:
     """Return the records of all files of a soak by time; an incomplete last line is left out."""
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -133,6 +133,7 @@
         finally:
             await deployment.stop()
         nursery.cancel_scope.cancel()
+    records.close()
     found = read_records(directory)
     result.findings += check_records(found)
     result.outcomes = Counter(rec["outcome"] for rec in found if rec["kind"] == "attempt")
