Leave out units that wait for the release of an isolated upstream

The trace shows the last host taking u2, which checks no orders, through the table at 4.9 s, since its holder and successor were lost, and moving two of its units to u0 at the same moment. u0 may have them only when u2 has surely stopped, which nobody can tell before isolation_limit_s, so they wait. The page names this case for units that stay with such an upstream, and the check left those out, but not the ones that move away from it. Ruled out: "release is not delivered" to the killed holder (it ends with the takeover); a lost deadline in the queue (requests for other units of u0 are served).

--- a/features/support/page.py
+++ b/features/support/page.py
@@ -69,15 +69,15 @@
 * Cells that the run above did not reach. The numbers are of a random sample unless all were run.
 * Combinations of faults at two different steps, except the pairs in the table.
 * Faults with real processes, sockets and clocks (SIGKILL, SIGSTOP); `emulator/_fleet.py` covers
-  some.
+  some, and [soak.md](soak.md) those of the node.
 * Clocks that drift apart: all simulated clocks run at the same rate.
 * Promise 7 beside faults that cut answers by themselves: these answers cannot be told from ones
   cut by the stop.
 * Promise 2 for pinned keys: no scenario pins a key.
 * The progress shown by the operator API is not judged.
 * An upstream that checks no orders stays unserved until `isolation_limit_s` if its holder and the
-  successor of that time are both lost, since nobody can tell whether they still use it. Such units
-  are left out of "service returns"; the number of cells where this happened is given above.
+  successor of that time are both lost, since nobody can tell whether they still use it. Such units,
+  and units that move away from such an upstream and wait for its release, are left out of "service returns"; the number of cells where this happened is given above.
 * Runs that were begun before their unit moved away from a lost upstream may end after the move.
 """
 
