--- a/features/support/page.py
+++ b/features/support/page.py
@@ -77,7 +77,8 @@
 * The progress shown by the operator API is not judged.
 * An upstream that checks no orders stays unserved until `isolation_limit_s` if its holder and the
   successor of that time are both lost, since nobody can tell whether they still use it. Such units,
-  and units that move away from such an upstream and wait for its release, are left out of "service returns"; the number of cells where this happened is given above.
+  and units that move away from such an upstream and wait for its release, are left out of "service
+  returns"; the number of cells where this happened is given above.
 * Runs that were begun before their unit moved away from a lost upstream may end after the move.
 """
 
