Let only a failing store end the defective node of the soak

The node with the defect "ends when the store fails" also ended when it lost the race for the role, since a failed condition is an error of the platform as well; then it never answers. Ruled out: ports given twice (their owner's log would say so).

The defect leaves out failed conditions, and a host that ends at its start is reported with its exit code at once, so that the next such run tells.

--- a/features/support/defective_node.py
+++ b/features/support/defective_node.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import Any
 
+from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import PlatformError
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.forward import _forwarder
@@ -81,6 +82,8 @@
     async def checked(self: Any, *args: Any) -> Any:
         try:
             return await renew(self, *args)
+        except ConditionFailedError:
+            raise
         except PlatformError:
             os._exit(3)
 
--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -117,6 +117,13 @@
                     status = 0
                 if status == 200 or (status and not ready):
                     return
+                process = self.members[name].process
+                if process is not None and process.poll() is not None:
+                    raise FleetError(
+                        f"ended with {process.returncode} at its start",
+                        step="soak.start",
+                        peer=name,
+                    )
                 await trio.sleep(POLL_S)
         raise FleetError("host does not start", step="soak.start", peer=name)
 
