Count the grace time from the signal when another service stops first

With the store silent its last renewals and the return of the role take up to 1.4 s, and the listener counted its grace time from then on: it took a request 4.9 s after SIGTERM and was killed with it at 6 s. Ruled out: the load of the machine (a listener with 6 s of grace stops after 7.0 s on a mock clock).

The node announces the stop to the listener at the signal, which then says not ready, lets connections close, and counts from there.

Before: node/stop.feature, second scenario, failed with 7.0 s. After: 29 scenarios of node and callers pass.

--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -7,10 +7,13 @@
 from typing import Any
 
 import trio
+from behave import given
 from behave import then
 from behave import when
 from features.steps.node_settings_steps import template_settings
+from trio.testing import MockClock
 
+from acaciasaddle.callers import Listener
 from acaciasaddle.node._node import Node
 
 LIMIT_S = 5.0
@@ -60,3 +63,45 @@
     def stopped(context: Any) -> None:
         assert not context.node_missed, "the signal met no handler of the node"
         assert context.node_stopped, "the services were not stopped"
+
+
+class _OpenServer:
+    """Stands in for a server whose connection stays open."""
+
+    open_connections = 1
+
+    def announce_close(self) -> None:
+        """Nothing follows from it here."""
+
+    def close_idle(self) -> None:
+        """Nothing is idle here."""
+
+
+class ListenerGraceSteps:
+    """Guards against requests that are taken so late that the process is killed with them."""
+
+    @staticmethod
+    @given("a listener with {grace:g} s of grace and an open connection")
+    def listener(context: Any, grace: float) -> None:
+        server: Any = _OpenServer()
+        context.listener = Listener(servers=(), callers=server, grace_s=grace)
+
+    @staticmethod
+    @when(
+        "a stop is announced, another service takes {seconds:g} s to stop, "
+        "and then the listener stops"
+    )
+    def stops(context: Any, seconds: float) -> None:
+        async def main() -> float:
+            announced = trio.current_time()
+            context.listener.announce_stop()
+            await trio.sleep(seconds)
+            await context.listener.stop()
+            return trio.current_time() - announced
+
+        context.stop_s = trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    @staticmethod
+    @then("the listener has stopped within {seconds:g} s of the announcement")
+    def in_time(context: Any, seconds: float) -> None:
+        assert context.stop_s < seconds, context.stop_s
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -111,6 +111,7 @@
         self._callers = callers
         self._grace_s = grace_s
         self.draining = False
+        self._stopping_since: float | None = None
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
@@ -119,12 +120,21 @@
             task_status.started()
             await trio.sleep_forever()
 
+    def announce_stop(self) -> float:
+        """Say not ready, and count the grace time from now; other services may stop first.
+
+        Returns when the stop was announced first.
+        """
+        if self._stopping_since is None:
+            self.draining = True
+            self._stopping_since = trio.current_time()
+            self._callers.announce_close()
+        return self._stopping_since
+
     async def stop(self) -> None:
-        """Say not ready, serve what still arrives, then finish what is in progress."""
-        self.draining = True
-        started = trio.current_time()
-        self._callers.announce_close()
-        await trio.sleep(max(self._grace_s / 2, self._grace_s - LONGEST_REQUEST_S))
+        """Serve what still arrives, then finish what is in progress."""
+        started = self.announce_stop()
+        await trio.sleep_until(started + max(self._grace_s / 2, self._grace_s - LONGEST_REQUEST_S))
         self._callers.close_idle()
         with trio.move_on_at(started + self._grace_s - EXIT_MARGIN_S):
             while self._callers.open_connections:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -151,6 +151,7 @@
                         break
                     log.info("settings file changed; addresses stay as they are")
                 log.info("stopping", signal=signum)
+                self.listener.announce_stop()
                 self.kernel.shutdown()
 
     def _limits(self) -> CallerLimits:
