Use one piece of code where the soak had written another

Cause, found on reading the change again: the soak repeated what stood elsewhere. Starting a process and reading its address is open_logged and read_ready beside free_port; flattening a group of exceptions is errors.leaves, which replaces three copies (cli/_run, entry/_host, the soak's command). The names of relay and store faults stood in two modules and their effects in one of them; both come from one table now. The digest of an answer and the removal of keys from holds stood twice each. The configuration of the stand-ins was encoded, decoded and encoded again, and a wrapper of call only passed arguments on. A slot time is looked up by SlotTimes.of in its own class too.

Behaviour is unchanged but for one thing: standard output of entry hosts that the emulator starts goes to their log file, as their errors did; they print nothing there. Ruled out: split_address of the peers in place of the lines that split ip:port, since it raises errors of peers and loads their schema library (3 MB a node).

--- a/src/acaciasaddle/cli/_run.py
+++ b/src/acaciasaddle/cli/_run.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import click
 
 from acaciasaddle.cli._common import ExitCode
 from acaciasaddle.cli._common import json_option
 from acaciasaddle.config import load_settings
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from acaciasaddle.errors import leaves
 
 
 @click.command(epilog="Example: acaciasaddle run /etc/acaciasaddle/host.json")
@@ -32,7 +28,7 @@
         run_entry_host(settings)
     except* OSError as group:
         failed = True
-        for exc in _leaves(group):
+        for exc in leaves(group):
             click.echo(
                 f"Error: {exc} (run, callers {settings.caller_address}, "
                 f"peers {settings.peer_address}, operator {settings.operator_address})",
@@ -40,12 +36,3 @@
             )
     if failed:
         ctx.exit(ExitCode.FAILED)
-
-
-def _leaves(group: BaseExceptionGroup[OSError]) -> Iterator[BaseException]:
-    """Yield the single errors of a nested group."""
-    for exc in group.exceptions:
-        if isinstance(exc, BaseExceptionGroup):
-            yield from _leaves(exc)
-        else:
-            yield exc
--- a/src/acaciasaddle/emulator/_fleet.py
+++ b/src/acaciasaddle/emulator/_fleet.py
@@ -143,7 +143,7 @@
         path = self.directory / f"{plan.host_id}.json"
         path.write_text(json.dumps(settings))
         args = [sys.executable, "-m", "acaciasaddle", "run", str(path)]
-        process = await self._open(plan.host_id, args)
+        process = await open_logged(self.directory, plan.host_id, args)
         host = Member(name=plan.host_id, process=process, address=caller, operator=operator)
         self.hosts[plan.host_id] = host
         with trio.move_on_after(START_LIMIT_S):
@@ -290,25 +290,8 @@
 
     async def _start_listening(self, name: str, args: list[str]) -> Member:
         command = [sys.executable, "-m", "acaciasaddle.emulator", "--log-level", "warning", *args]
-        process = await self._open(name, command, stdout=subprocess.PIPE)
-        assert process.stdout is not None
-        line = b""
-        with trio.move_on_after(START_LIMIT_S):
-            while not line.endswith(b"\n"):
-                chunk = await process.stdout.receive_some(1024)
-                if not chunk:
-                    break
-                line += chunk
-        if not line.endswith(b"\n"):
-            raise FleetError("process does not start", step="fleet.start", peer=name)
-        return Member(name=name, process=process, address=json.loads(line)["ready"])
-
-    async def _open(self, name: str, command: list[str], **options: Any) -> trio.Process:
-        log_path = self.directory / f"{name.replace('/', '-')}.log"
-        with open(log_path, "ab") as log_file:
-            return await trio.lowlevel.open_process(
-                command, stderr=log_file, env=dict(os.environ), **options
-            )
+        process = await open_logged(self.directory, name, command, stdout=subprocess.PIPE)
+        return Member(name=name, process=process, address=await read_ready(process, name))
 
 
 @asynccontextmanager
@@ -322,6 +305,34 @@
         await fleet.stop()
 
 
+async def open_logged(
+    directory: Path, name: str, command: list[str], *, stdout: int | None = None
+) -> trio.Process:
+    """Start a process whose standard error, and output unless given, go into a log file.
+
+    ``stdout`` is as for ``subprocess``.
+    """
+    with open(directory / f"{name.replace('/', '-')}.log", "ab") as log_file:
+        return await trio.lowlevel.open_process(
+            command,
+            stdout=log_file if stdout is None else stdout,
+            stderr=log_file,
+            env=dict(os.environ),
+        )
+
+
+async def read_ready(process: trio.Process, name: str) -> str:
+    """Return the address that a stand-in prints when it listens. Raises ``FleetError``."""
+    assert process.stdout is not None
+    line = b""
+    with trio.move_on_after(START_LIMIT_S):
+        while not line.endswith(b"\n") and (chunk := await process.stdout.receive_some(1024)):
+            line += chunk
+    if not line.endswith(b"\n"):
+        raise FleetError("process does not start", step="fleet.start", peer=name)
+    return str(json.loads(line)["ready"])
+
+
 def free_port() -> int:
     """Return a TCP port of 127.0.0.1 that is free, and that no other test run gives meanwhile.
 
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -14,6 +14,7 @@
 from acaciasaddle.emulator.soak import RecordFile
 from acaciasaddle.emulator.soak import SoakTerms
 from acaciasaddle.emulator.soak import run_soak
+from acaciasaddle.errors import leaves
 from acaciasaddle.platform.standins import StoreApp
 from acaciasaddle.platform.standins import UpstreamApp
 from acaciasaddle.platform.standins import UpstreamSettings
@@ -77,21 +78,14 @@
         try:
             result = trio.run(run_soak, terms, path)
         except* FleetError as group:
-            raise click.ClickException(f"seed {terms.seed}: {_messages(group)}") from None
+            messages = "; ".join(str(exc) for exc in leaves(group))
+            raise click.ClickException(f"seed {terms.seed}: {messages}") from None
     click.echo(f"seed {terms.seed}: attempts {dict(sorted(result.outcomes.items()))}")
     for finding in result.findings:
         click.echo(f"seed {terms.seed}: {finding.rule}: {finding.detail}")
     return not result.findings
 
 
-def _messages(group: BaseExceptionGroup[BaseException]) -> str:
-    """Return the messages of all errors in a group, nested ones included."""
-    return "; ".join(
-        _messages(exc) if isinstance(exc, BaseExceptionGroup) else str(exc)
-        for exc in group.exceptions
-    )
-
-
 @click.command("users-store")
 @click.option("--address", default=ADDRESS, show_default=True, help="ip:port; 0: any port.")
 def users_store(address: str) -> None:
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -43,11 +44,7 @@
         if record["kind"] == "dead":
             holds = [hold for hold in holds if hold.life.partition("@")[0] != record["upstream"]]
         elif record["kind"] == "released":
-            holds = [
-                part
-                for hold in holds
-                for part in (_without(hold, record) if hold.life == life else [hold])
-            ]
+            holds = _given_up(holds, record)
         elif record["kind"] == "held":
             holds = [hold for hold in holds if hold.until > at]
             for hold in holds:
@@ -55,11 +52,7 @@
                     keys = f"{record['first']} to {record['last']}"
                     detail = f"{life} and {hold.life} hold keys of {keys} at {at:.3f}"
                     yield Finding(rule="two-owners", detail=detail)
-            holds = [
-                part
-                for hold in holds
-                for part in (_without(hold, record) if hold.life == life else [hold])
-            ]
+            holds = _given_up(holds, record)
             holds.append(
                 _Hold(
                     life=life,
@@ -74,6 +67,15 @@
     return bool(hold.first <= record["last"] and record["first"] <= hold.last)
 
 
+def _given_up(holds: list[_Hold], record: Record) -> list[_Hold]:
+    """Return the holds without the keys of a record that its life held."""
+    return [
+        part
+        for hold in holds
+        for part in (_without(hold, record) if hold.life == record["life"] else [hold])
+    ]
+
+
 def _without(hold: _Hold, record: Record) -> list[_Hold]:
     """Return what is left of a hold without the keys of a record."""
     if not _overlap(hold, record):
@@ -81,7 +83,7 @@
     parts = []
     for first, last in ((hold.first, record["first"] - 1), (record["last"] + 1, hold.last)):
         if first <= last:
-            parts.append(_Hold(life=hold.life, first=first, last=last, until=hold.until))
+            parts.append(replace(hold, first=first, last=last))
     return parts
 
 
--- a/src/acaciasaddle/emulator/soak/_faults.py
+++ b/src/acaciasaddle/emulator/soak/_faults.py
@@ -5,9 +5,29 @@
 import random
 from dataclasses import dataclass
 
+from acaciasaddle.emulator.soak._relay import RelayFaults
+from acaciasaddle.platform.standins import StoreFaults
+
 PROCESS_FAULTS = ("pause", "kill", "stop")
-RELAY_FAULTS = ("refuse", "silence", "cut inward", "cut outward", "delay", "reset")
-STORE_FAULTS = ("unavailable", "throttled", "slow", "loses answers", "late writes", "forgets")
+RESET = "reset"
+"""Fault of a relay that resets its connections once and then works."""
+RELAY_FAULTS = {
+    "refuse": RelayFaults(refuses=True),
+    "silence": RelayFaults(stops_inward=True, stops_outward=True),
+    "cut inward": RelayFaults(stops_inward=True),
+    "cut outward": RelayFaults(stops_outward=True),
+    "delay": RelayFaults(delay_s=0.2),
+    RESET: RelayFaults(),
+}
+FORGETS = "forgets"
+"""Fault of the store that drops its history at once."""
+STORE_FAULTS = {
+    "unavailable": StoreFaults(refuses=503),
+    "throttled": StoreFaults(refuses=429),
+    "slow": StoreFaults(delay_s=0.4),
+    "loses answers": StoreFaults(lose_answers=3),
+    "late writes": StoreFaults(late=3),
+}
 SERIES_CHANCE = 0.3
 """Chance that a fault is followed by another one of the same target soon after its end."""
 MIN_LENGTH_S = 0.2
@@ -56,9 +76,9 @@
     if kind == "upstream":
         return rng.choice(upstreams), PROCESS_FAULTS
     if kind == "store":
-        return "store", STORE_FAULTS
+        return "store", (*STORE_FAULTS, FORGETS)
     if kind == "store of":
-        return f"store of {rng.choice(hosts)}", RELAY_FAULTS
+        return f"store of {rng.choice(hosts)}", tuple(RELAY_FAULTS)
     if kind == "way":
-        return f"way to {rng.choice(upstreams)}", RELAY_FAULTS
+        return f"way to {rng.choice(upstreams)}", tuple(RELAY_FAULTS)
     return "operator", ("change",)
--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -15,16 +14,18 @@
 import msgspec
 import trio
 
+from acaciasaddle.emulator._fleet import START_LIMIT_S
 from acaciasaddle.emulator._fleet import FleetError
 from acaciasaddle.emulator._fleet import free_port
+from acaciasaddle.emulator._fleet import open_logged
+from acaciasaddle.emulator._fleet import read_ready
 from acaciasaddle.emulator._json_http import request_json
 from acaciasaddle.emulator.soak._records import RecordFile
 from acaciasaddle.emulator.soak._relay import Relay
 from acaciasaddle.platform.standins import SERVICE
 from acaciasaddle.platform.standins import UpstreamSettings
-from acaciasaddle.platform.standins import configuration_body
+from acaciasaddle.platform.standins import configuration_value
 
-START_LIMIT_S = 30.0
 POLL_S = 0.05
 STOP_LIMIT_S = 12.0
 """A node has 6 s of grace and ends within a few more, also on a busy machine."""
@@ -134,7 +135,7 @@
         if relay is not None:
             relay.target = await self._start_listening(member)
         else:
-            member.process = await self._open(member)
+            member.process = await open_logged(self.directory, name, member.command)
             # A signal during the interpreter's own start ends the process without a trace.
             await self._wait_answer(name, ready=False)
         member.wanted = True
@@ -186,8 +187,8 @@
         """Write the next version, with one route more."""
         self.version += 3
         self.extra_routes += 1
-        body = configuration_body(version=self.version, extra_routes=self.extra_routes)
-        await self.order_store("configuration", json.loads(body))
+        value = configuration_value(version=self.version, extra_routes=self.extra_routes)
+        await self.order_store("configuration", value)
 
     async def order_store(self, call: str, body: Any) -> None:
         """Give an order to the store stand-in."""
@@ -209,20 +210,7 @@
             process.send_signal(signum)
 
     async def _start_listening(self, member: Member) -> str:
-        process = member.process = await self._open(member, stdout=subprocess.PIPE)
-        assert process.stdout is not None
-        line = b""
-        with trio.move_on_after(START_LIMIT_S):
-            while not line.endswith(b"\n") and (chunk := await process.stdout.receive_some(1024)):
-                line += chunk
-        if not line.endswith(b"\n"):
-            raise FleetError("process does not start", step="soak.start", peer=member.name)
-        return str(json.loads(line)["ready"])
-
-    async def _open(self, member: Member, **options: Any) -> trio.Process:
-        path = self.directory / f"{member.name}.log"
-        with path.open("ab") as log_file:
-            return await trio.lowlevel.open_process(
-                member.command,
-                **{"stdout": log_file, "stderr": log_file, "env": dict(os.environ), **options},
-            )
+        member.process = await open_logged(
+            self.directory, member.name, member.command, stdout=subprocess.PIPE
+        )
+        return await read_ready(member.process, member.name)
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -6,8 +6,10 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from acaciasaddle.emulator._fleet import FleetError
@@ -18,6 +20,10 @@
 from acaciasaddle.emulator.soak._callers import send
 from acaciasaddle.emulator.soak._checks import Finding
 from acaciasaddle.emulator.soak._checks import check_records
+from acaciasaddle.emulator.soak._faults import FORGETS
+from acaciasaddle.emulator.soak._faults import RELAY_FAULTS
+from acaciasaddle.emulator.soak._faults import RESET
+from acaciasaddle.emulator.soak._faults import STORE_FAULTS
 from acaciasaddle.emulator.soak._faults import Fault
 from acaciasaddle.emulator.soak._faults import draw_faults
 from acaciasaddle.emulator.soak._processes import NODE
@@ -26,7 +32,6 @@
 from acaciasaddle.emulator.soak._records import read_records
 from acaciasaddle.emulator.soak._relay import RelayFaults
 from acaciasaddle.observe import get_logger
-from acaciasaddle.platform.standins import StoreFaults
 from acaciasaddle.platform.standins import caller_headers
 from acaciasaddle.platform.standins import extra_path
 
@@ -40,24 +45,6 @@
 """A change of the configuration is in force at all hosts within this, once they reach the store."""
 PROBED_KEYS = 32
 PROBE_PAUSE_S = 0.1
-SLOW_STORE_S = 0.4
-DELAY_S = 0.2
-
-RELAY_FAULTS = {
-    "refuse": RelayFaults(refuses=True),
-    "silence": RelayFaults(stops_inward=True, stops_outward=True),
-    "cut inward": RelayFaults(stops_inward=True),
-    "cut outward": RelayFaults(stops_outward=True),
-    "delay": RelayFaults(delay_s=DELAY_S),
-    "reset": RelayFaults(),
-}
-STORE_FAULTS = {
-    "unavailable": StoreFaults(refuses=503),
-    "throttled": StoreFaults(refuses=429),
-    "slow": StoreFaults(delay_s=SLOW_STORE_S),
-    "loses answers": StoreFaults(lose_answers=3),
-    "late writes": StoreFaults(late=3),
-}
 
 log = get_logger("soak")
 
@@ -122,7 +109,15 @@
             with trio.CancelScope() as load:
                 async with trio.open_nursery() as callers:
                     for number in range(terms.callers):
-                        callers.start_soon(_call, number, terms.seed, deployment, records)
+                        callers.start_soon(
+                            partial(
+                                call,
+                                number=number,
+                                seed=terms.seed,
+                                hosts=deployment.hosts,
+                                records=records,
+                            )
+                        )
                     await _inject(deployment, result)
                     await _recovered(deployment, result, "recovery", terms.recovery_s)
                     load.cancel()
@@ -147,10 +142,6 @@
             raise FleetError(f"stopped by signal {signum}", step="soak.run")
 
 
-async def _call(number: int, seed: int, deployment: Deployment, records: RecordFile) -> None:
-    await call(number=number, seed=seed, hosts=deployment.hosts, records=records)
-
-
 async def _inject(deployment: Deployment, result: SoakResult) -> None:
     started = trio.current_time()
     locks = {fault.target: trio.Lock() for fault in result.faults}
@@ -171,17 +162,16 @@
     target = fault.target
     if target == "operator":
         await deployment.change_configuration()
-    elif target == "store" and fault.name == "forgets":
+    elif target == "store" and fault.name == FORGETS:
         await deployment.order_store("forget", None)
     elif target == "store":
-        faults = STORE_FAULTS[fault.name]
-        await deployment.order_store("faults", _store_order(faults))
+        await deployment.order_store("faults", msgspec.structs.asdict(STORE_FAULTS[fault.name]))
         await trio.sleep(fault.length_s)
         await deployment.order_store("faults", {})
     elif target in deployment.relays:
         relay = deployment.relays[target]
         relay.set(RELAY_FAULTS[fault.name])
-        if fault.name == "reset":
+        if fault.name == RESET:
             relay.reset()
         await trio.sleep(fault.length_s)
         relay.set(RelayFaults())
@@ -200,10 +190,6 @@
         await deployment.start_member(target)
 
 
-def _store_order(faults: StoreFaults) -> dict[str, float]:
-    return {name: getattr(faults, name) for name in faults.__struct_fields__}
-
-
 async def _stop_host(deployment: Deployment, result: SoakResult, name: str) -> None:
     in_time = await deployment.end(name, signal.SIGTERM)
     process = deployment.members[name].process
--- a/src/acaciasaddle/errors/__init__.py
+++ b/src/acaciasaddle/errors/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from acaciasaddle.errors._groups import leaves
 from acaciasaddle.errors._tree import AcaciasaddleError
 from acaciasaddle.errors._tree import AuthorityLostError
 from acaciasaddle.errors._tree import ConditionFailedError
@@ -38,4 +39,5 @@
     "UpstreamError",
     "UpstreamUnreachableError",
     "WriteOutcomeUnknownError",
+    "leaves",
 ]
--- /dev/null
+++ b/src/acaciasaddle/errors/_groups.py
@@ -0,0 +1,17 @@
+"""Groups of exceptions, as nurseries raise them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+def leaves(group: BaseExceptionGroup[BaseException]) -> Iterator[BaseException]:
+    """Yield the single exceptions of a nested group."""
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from leaves(exc)
+        else:
+            yield exc
--- a/src/acaciasaddle/forward/_admission.py
+++ b/src/acaciasaddle/forward/_admission.py
@@ -62,7 +62,7 @@
     def note(self, upstream_id: str, *, seconds: float, busy: int, slots: int) -> None:
         """Take a response time into account that began with ``busy`` requests at the upstream."""
         in_slot = seconds / max(1.0, busy / slots)
-        known = self.by_upstream.get(upstream_id, self.typical_s)
+        known = self.of(upstream_id)
         self.by_upstream[upstream_id] = known + SERVICE_TIME_WEIGHT * (in_slot - known)
         self.typical_s += SERVICE_TIME_WEIGHT * (in_slot - self.typical_s) / 4
 
--- a/src/acaciasaddle/platform/standins/__init__.py
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -7,7 +7,7 @@
 from acaciasaddle.platform.standins._messages import READS
 from acaciasaddle.platform.standins._messages import SERVICE
 from acaciasaddle.platform.standins._messages import caller_headers
-from acaciasaddle.platform.standins._messages import configuration_body
+from acaciasaddle.platform.standins._messages import configuration_value
 from acaciasaddle.platform.standins._messages import extra_path
 from acaciasaddle.platform.standins._store_app import StoreApp
 from acaciasaddle.platform.standins._store_app import StoreFaults
@@ -25,7 +25,7 @@
     "UpstreamApp",
     "UpstreamSettings",
     "caller_headers",
-    "configuration_body",
+    "configuration_value",
     "extra_path",
     "is_own_answer",
 ]
--- a/src/acaciasaddle/platform/standins/_messages.py
+++ b/src/acaciasaddle/platform/standins/_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+from typing import Any
 
 from acaciasaddle.platform import _wire
 
@@ -16,7 +16,7 @@
 """With these the product promises that the request has not run and never will."""
 
 
-def configuration_body(*, version: int, extra_routes: int) -> bytes:
+def configuration_value(*, version: int, extra_routes: int) -> dict[str, Any]:
     """Return an operator's configuration with a number of further routes, ``/extra-0/`` and on."""
     prefixes = [(READS, "idempotent", 0), (DEPOSITS, "non_idempotent", 1)]
     prefixes += [(extra_path(index), "idempotent", 2) for index in range(extra_routes)]
@@ -33,7 +33,7 @@
         }
         for prefix, kind, rank in prefixes
     ]
-    value = {
+    return {
         "version": version,
         "virtualHosts": [{"host": HOST, "paths": paths}],
         "services": [
@@ -52,7 +52,6 @@
             "idleTimeoutS": 15.0,
         },
     }
-    return json.dumps(value).encode()
 
 
 def extra_path(index: int) -> str:
--- a/src/acaciasaddle/platform/standins/_upstream_app.py
+++ b/src/acaciasaddle/platform/standins/_upstream_app.py
@@ -238,7 +238,7 @@
         if drawn < share:
             await exchange.close_without_answer()
             return
-        digest = hashlib.sha256(request_id.encode() + body).hexdigest()
+        digest = _digest(request_id, body)
         data = json.dumps({"digest": digest, "padding": "." * 500}).encode()
         headers = {
             _wire.REQUEST_ID: request_id,
@@ -264,10 +264,14 @@
 
 def is_own_answer(request_id: str, body: bytes, response: httpcore.Response) -> bool:
     """Whether a response is the stand-in's to this request, signed and whole."""
-    digest = hashlib.sha256(request_id.encode() + body).hexdigest()
+    digest = _digest(request_id, body)
     fields = {name.lower().decode("latin-1"): value for name, value in response.headers}
     try:
         answered = json.loads(response.content)["digest"]
     except (ValueError, KeyError, TypeError):
         return False
     return answered == digest and fields.get(_wire.SIGNATURE) == digest.encode()
+
+
+def _digest(request_id: str, body: bytes) -> str:
+    return hashlib.sha256(request_id.encode() + body).hexdigest()
