Contain malformed input and unexpected errors to one connection

Cause: found by fuzzing. A Shard-Key or Request-Deadline of 5000 digits, a caller that resets its connection while it waits for 100-continue (its error came out of a nursery as an exception group, which 'except OSError' does not match), 'Keep-Alive: timeout=²' of an upstream, and a malformed row of owners each raised an exception that nothing caught, and ended the process.

--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -78,6 +79,7 @@
         self._idle_scope = trio.CancelScope()
         self.closing = False
         self.close_after_next = False
+        self.unexpected_errors = 0
 
     @property
     def busy(self) -> bool:
@@ -194,7 +196,13 @@
         self._progress = trio.Event()
 
     async def _serve(self, exchange: _Exchange, req: CallerRequest) -> None:
-        exchange.response = await self._handle(req)
+        try:
+            exchange.response = await self._handle(req)
+        except Exception as exc:
+            # The request may have run, so the response promises nothing.
+            self.unexpected_errors += 1
+            log.error("unexpected error, request answered with 502", reason=describe_error(exc))
+            exchange.response = CallerResponse(status=502, headers=[])
         exchange.done.set()
 
     async def _write_responses(self, scope: trio.CancelScope) -> None:
@@ -309,6 +317,13 @@
             raise trio.BrokenResourceError("the caller did not read the response in time")
 
 
+def describe_error(exc: BaseException) -> str:
+    """Return an unexpected error's type and message, and the line of code that raised it."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    where = f" ({frames[-1].filename}:{frames[-1].lineno})" if frames else ""
+    return f"{exc!r}{where}"
+
+
 def _head_size(head: h11.Request) -> int:
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
     return len(head.method) + len(head.target) + fields
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -9,6 +9,7 @@
 import trio
 
 from acaciasaddle.callers._connection import CallerConnection
+from acaciasaddle.callers._connection import describe_error
 from acaciasaddle.kernel import Service
 from acaciasaddle.observe import get_logger
 
@@ -27,7 +28,11 @@
 
 
 class HttpServer:
-    """Accepts connections on one address and serves each in a task of its own."""
+    """Accepts connections on one address and serves each in a task of its own.
+
+    An error on one connection ends that connection only. Errors that are neither a network failure
+    nor a violation of HTTP are unexpected; they are logged and counted.
+    """
 
     def __init__(
         self,
@@ -41,6 +46,7 @@
         self._handle = handle
         self._connections: set[CallerConnection] = set()
         self._closing = False
+        self._errors_of_closed = 0
         self._accepting = trio.CancelScope()
 
     @property
@@ -48,6 +54,11 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def unexpected_errors(self) -> int:
+        """Number of unexpected errors since the start."""
+        return self._errors_of_closed + sum(conn.unexpected_errors for conn in self._connections)
+
     @property
     def busy_connections(self) -> int:
         """Number of connections with requests in progress."""
@@ -98,9 +109,15 @@
         self._connections.add(conn)
         try:
             await conn.run()
-        except OSError as exc:
-            log.info("HTTP connection failed", reason=str(exc))
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as group:
+            log.info("HTTP connection failed", reason=repr(group.exceptions))
+        except* Exception as group:
+            self._errors_of_closed += 1
+            log.error(
+                "unexpected error, connection closed", reason=describe_error(group.exceptions[0])
+            )
         finally:
+            self._errors_of_closed += conn.unexpected_errors
             self._connections.discard(conn)
 
 
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -31,6 +31,9 @@
 """A body up to this size fits the socket buffers of both ends, so it is sent completely before the
 response is read. A larger one is sent in a task of its own while the response is read."""
 
+MAX_KEEP_ALIVE_DIGITS = 9
+"""Digits read of a ``Keep-Alive`` timeout."""
+
 RawHeaders = list[tuple[bytes, bytes]]
 
 
@@ -113,8 +116,8 @@
         """
         self.reusable = False
         self.requests += 1
-        request = h11.Request(method=method, target=target, headers=list(headers))
         try:
+            request = h11.Request(method=method, target=target, headers=list(headers))
             head = self._parser.send(request) or b""
             data = body and (self._parser.send(h11.Data(data=body)) or b"")
             self._parser.send(h11.EndOfMessage())
@@ -242,6 +245,7 @@
     """Return the timeout in a ``Keep-Alive`` header in seconds, or ``None``."""
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.strip().isdigit():
-            return float(seconds)
+        seconds = seconds.strip()
+        if name.lower() == "timeout" and seconds.isascii() and seconds.isdigit():
+            return float(seconds[:MAX_KEEP_ALIVE_DIGITS])
     return None
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -11,7 +11,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
+
 from acaciasaddle.errors import Outcome
+from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.fleet._types import UpstreamIncarnation
 
@@ -86,6 +89,19 @@
     previous: Owner | None = None
 
 
+class _RawKeyMap(msgspec.Struct):
+    """The JSON value of a ``KeyMap``.
+
+    An owner is an upstream's id, its start in milliseconds and its address. A span is its first and
+    last key, the index of its owner, its fencing token, whether it moves, and the index of its
+    previous owner or -1.
+    """
+
+    fence: int
+    owners: list[tuple[str, int, str]]
+    spans: list[tuple[int, int, int, int, int, int]]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyMap:
     """The spans of a service in ascending order, and the highest fencing token used so far.
@@ -139,25 +155,34 @@
 
     @classmethod
     def from_json(cls, value: JsonObject, *, version: int) -> KeyMap:
-        """Return the map that a JSON value describes."""
-        owners = [
-            Owner(
-                incarnation=UpstreamIncarnation(upstream_id=name, started_ms=started),
-                address=address,
-            )
-            for name, started, address in value["owners"]
-        ]
-        spans = tuple(
-            Span(
-                keys=KeyRange(first, last),
-                owner=owners[owner],
-                fence=fence,
-                moving=bool(moving),
-                previous=owners[previous] if previous >= 0 else None,
+        """Return the map that a JSON value describes.
+
+        Raises ``PlatformUnavailableError`` if the value describes none.
+        """
+        try:
+            raw = msgspec.convert(value, _RawKeyMap)
+            owners = [
+                Owner(
+                    incarnation=UpstreamIncarnation(upstream_id=name, started_ms=started),
+                    address=address,
+                )
+                for name, started, address in raw.owners
+            ]
+            spans = tuple(
+                Span(
+                    keys=KeyRange(first, last),
+                    owner=owners[owner],
+                    fence=fence,
+                    moving=bool(moving),
+                    previous=owners[previous] if previous >= 0 else None,
+                )
+                for first, last, owner, fence, moving, previous in raw.spans
             )
-            for first, last, owner, fence, moving, previous in value["spans"]
-        )
-        return cls(spans=spans, fence=value["fence"], version=version)
+        except (msgspec.ValidationError, IndexError) as exc:
+            raise PlatformUnavailableError(
+                f"a row of owners cannot be decoded: {exc}", step="keyspace.owners"
+            ) from exc
+        return cls(spans=spans, fence=raw.fence, version=version)
 
     def replaced(self, keys: KeyRange, spans: Iterable[Span], *, fence: int) -> KeyMap:
         """Return a map with the owners of ``keys`` replaced by ``spans``, which lie within them."""
--- a/src/acaciasaddle/links/_changes.py
+++ b/src/acaciasaddle/links/_changes.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 
 from acaciasaddle.errors import PeerProtocolError
+from acaciasaddle.errors import PlatformError
 from acaciasaddle.fleet import UpstreamEntry
 from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.links._messages import OwnersPart
@@ -75,9 +76,12 @@
 def apply_part(part: OwnersPart, known: KeyMap | None) -> KeyMap:
     """Return the known owners with a part applied.
 
-    Raises ``PeerProtocolError`` if the part is based on another version.
+    Raises ``PeerProtocolError`` if the part is malformed or based on another version.
     """
-    sent = KeyMap.from_json(part.value, version=part.version)
+    try:
+        sent = KeyMap.from_json(part.value, version=part.version)
+    except PlatformError as exc:
+        raise PeerProtocolError(exc.message, step="links.owners") from exc
     if part.base == 0:
         return sent
     if known is None or known.version != part.base:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -164,6 +164,7 @@
         view, now = self.view, self._clock.now()
         gauges = {
             "callers.open_connections": float(self.callers.open_connections),
+            "callers.unexpected_errors": float(self.callers.unexpected_errors),
             "links.hosts": float(self.links.hosts),
             "coordinator.leading": float(self.coordinator.leading),
             "coordinator.role_age_s": self.coordinator.role_age_s,
--- a/src/acaciasaddle/platform/_dialect.py
+++ b/src/acaciasaddle/platform/_dialect.py
@@ -55,11 +55,17 @@
     """Return the number, capped at ``maximum`` and divided by ``scale``, or ``None``."""
     if text is None or not text.isascii() or not text.isdigit():
         return None
-    return min(int(text), maximum) / scale
+    # Python refuses to convert thousands of digits.
+    digits = text.lstrip("0") or "0"
+    value = int(digits) if len(digits) <= len(str(maximum)) else maximum
+    return min(value, maximum) / scale
 
 
 def _key(text: str | None) -> int | None:
     """Return a key, or ``None`` if the text is not a valid one."""
-    if text is None or not text.isascii() or not text.isdigit() or int(text) > MAX_KEY:
+    if text is None or not text.isascii() or not text.isdigit():
+        return None
+    digits = text.lstrip("0") or "0"
+    if len(digits) > len(str(MAX_KEY)) or int(digits) > MAX_KEY:
         return None
-    return int(text)
+    return int(digits)
