Do not bring back upstreams that left or drain

Cause: a host that had read a removal or a drain itself took the upstream back when the coordinator, whose last read was older, reported it over a link; found by reading, for the operators' case of a server that was in use again after a restart. A linked host dropped an upstream that stayed missing after an outage only at the next change, and did not learn a changed number of slots. Change: states of the coordinator carry the revision of its registry; entries older than a removal are ignored; draining is final for an incarnation; missing upstreams are also dropped while nothing changes; every change of an entry but its warm-up is told. The new field is last in the message and has a default, so hosts of the previous build understand it.

--- a/features/fleet_view/view.feature
+++ b/features/fleet_view/view.feature
@@ -42,3 +42,24 @@
     When the owners arrive with version 3
     And the owners arrive with version 2
     Then the owners have version 3
+
+  Scenario: an upstream that is missing after an outage is removed also if nothing else changes
+    When after 8 s the registry has "u1, u3"
+    And after 2.5 s the registry is reported unchanged
+    Then the view has "u1, u3"
+
+  Scenario: what another host read before a removal does not bring the upstream back
+    When at revision 7 the registry has "u1, u3"
+    And another host reports "u1, u2, u3" as of revision 6
+    Then the view has "u1, u3"
+    When another host reports "u1, u2, u3" as of revision 8
+    Then the view has "u1, u2, u3"
+
+  Scenario: what another host read before an upstream began to drain does not make it usable
+    When "u2" reports that it drains
+    And another host reports "u1, u2, u3" as of revision 1
+    Then "u2" is draining
+
+  Scenario: a changed number of slots is a change for the hosts that are told of changes
+    When "u2" registers with 5 slots
+    Then the view has changed
--- a/features/steps/fleet_view_steps.py
+++ b/features/steps/fleet_view_steps.py
@@ -31,14 +31,16 @@
         return self.at
 
 
-def _entry(name: str, started_ms: int = 5) -> UpstreamEntry:
+def _entry(
+    name: str, started_ms: int = 5, *, slots: int = 2, draining: bool = False
+) -> UpstreamEntry:
     return UpstreamEntry(
         life=UpstreamIncarnation(upstream_id=name, started_ms=started_ms),
         service="s",
         address="10.0.0.1:80",
         data_centre="east",
-        slots=2,
-        draining=False,
+        slots=slots,
+        draining=draining,
         cold_s=0.0,
     )
 
@@ -75,6 +77,46 @@
         entries = {name: _entry(name) for name in names.split(", ")}
         context.view.apply_registry(RegistryChange(revision=1, complete=True, entries=entries))
 
+    @staticmethod
+    @when("after {pause:g} s the registry is reported unchanged")
+    def unchanged(context: Any, pause: float) -> None:
+        context.clock.at += pause
+        context.view.note_registry_read(age_s=0.0)
+
+    @staticmethod
+    @when('at revision {revision:d} the registry has "{names}"')
+    @when('another host reports "{names}" as of revision {revision:d}')
+    def registry_at(context: Any, revision: int, names: str) -> None:
+        entries = {name: _entry(name) for name in names.split(", ")}
+        change = RegistryChange(revision=revision, complete=True, entries=entries)
+        context.view.apply_registry(change)
+
+    @staticmethod
+    @when('"{name}" reports that it drains')
+    def drains(context: Any, name: str) -> None:
+        FleetViewSteps._change(context, _entry(name, draining=True))
+
+    @staticmethod
+    @then('"{name}" is draining')
+    def is_draining(context: Any, name: str) -> None:
+        assert context.view.upstreams[name].draining
+
+    @staticmethod
+    @when('"{name}" registers with {slots:d} slots')
+    def new_slots(context: Any, name: str, slots: int) -> None:
+        context.serial = context.view.registry_serial
+        FleetViewSteps._change(context, _entry(name, slots=slots))
+
+    @staticmethod
+    @then("the view has changed")
+    def view_changed(context: Any) -> None:
+        assert context.view.registry_serial == context.serial + 1
+
+    @staticmethod
+    def _change(context: Any, entry: UpstreamEntry) -> None:
+        change = RegistryChange(revision=1, complete=False, entries={entry.upstream_id: entry})
+        context.view.apply_registry(change)
+
     @staticmethod
     @then('the view has "{names}"')
     def has_upstreams(context: Any, names: str) -> None:
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -19,6 +20,8 @@
 RETURN_LIMIT_S = 2.2
 """Upstreams that are missing after an outage of the registry are kept for this long. Those whose
 entries expired during the outage return within about 2 s."""
+REMOVAL_MEMORY_S = 30.0
+"""A removal is remembered for this long. Links report what was read a few seconds ago at most."""
 OUTAGE_S = 1.5
 """A registry that was not read for this long is taken to have had an outage: one to three reads in
 a row have failed, depending on how long each took."""
@@ -30,7 +33,9 @@
     """The newest known state. On every change ``changed`` is set and replaced by a new event.
 
     A new entry of a known upstream is a change only if its incarnation, its address or ``draining``
-    is different. ``registry_serial`` increases with every change of the upstreams.
+    is different, or what it says of itself beside its warm-up. ``registry_serial`` increases with
+    every change of the upstreams. ``registry_revision`` is the latest revision of the registry that
+    a change was read at.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -43,8 +48,11 @@
         self.registry_read_at: float | None = None
         self.configuration_read_at: float | None = None
         self.registry_serial = 0
+        self.registry_revision = 0
         self._missing_since: dict[str, float] = {}
         self._moving_since: dict[tuple[str, int], float] = {}
+        # Revision and time at which each upstream was last seen to be removed.
+        self._removals: dict[str, tuple[int, float]] = {}
 
     @property
     def complete(self) -> bool:
@@ -107,12 +115,16 @@
     def apply_registry(self, change: RegistryChange, *, age_s: float = 0.0) -> None:
         """Apply changes of the registry that were read ``age_s`` seconds ago.
 
+        Entries that are older than the removal of their upstream are ignored: another host may
+        report what it read before.
+
         Upstreams that are missing after an outage are removed by the first call that comes more
         than ``RETURN_LIMIT_S`` later, if they have not returned.
         """
         now = self._clock.now()
         after_outage = self.registry_read_at is not None and now - self.registry_read_at > OUTAGE_S
         self.registry_read_at = now - age_s
+        self.registry_revision = max(self.registry_revision, change.revision)
         removed = {name for name, entry in change.entries.items() if entry is None}
         if change.complete:
             removed |= self.upstreams.keys() - change.entries.keys()
@@ -120,7 +132,7 @@
             log.warning("registry entry not usable", reason=problem)
         changed = False
         for name, entry in change.entries.items():
-            if entry is not None:
+            if entry is not None and not self._is_outdated(name, change.revision):
                 self._missing_since.pop(name, None)
                 changed |= self._put_entry(entry)
         for name in removed & self.upstreams.keys():
@@ -128,23 +140,46 @@
                 self._missing_since.setdefault(name, now)
             elif name not in self._missing_since:
                 changed |= self._remove(name, "removed")
+        changed |= self._remove_missing(now)
+        if changed:
+            self._note_registry_change()
+
+    def note_registry_read(self, *, age_s: float) -> None:
+        """Note that the registry was read ``age_s`` seconds ago without changes."""
+        now = self._clock.now()
+        self.registry_read_at = now - age_s
+        if self._remove_missing(now):
+            self._note_registry_change()
+
+    def _remove_missing(self, now: float) -> bool:
+        """Remove upstreams that have not returned after an outage; return whether there are any."""
+        changed = False
         for name, since in list(self._missing_since.items()):
             if now - since > RETURN_LIMIT_S:
                 del self._missing_since[name]
                 changed |= self._remove(name, "did not return after an outage of the registry")
-        if changed:
-            self.registry_serial += 1
-            self._notify()
+        return changed
 
-    def note_registry_read(self, *, age_s: float) -> None:
-        """Note that the registry was read ``age_s`` seconds ago without changes."""
-        self.registry_read_at = self._clock.now() - age_s
+    def _note_registry_change(self) -> None:
+        self.registry_serial += 1
+        self._notify()
+
+    def _is_outdated(self, name: str, revision: int) -> bool:
+        """Return whether an entry read at a revision is older than the upstream's removal.
+
+        The revision is 0 if it is not known.
+        """
+        removed_at, _ = self._removals.get(name, (0, 0.0))
+        return 0 < revision < removed_at
 
     def _put_entry(self, entry: UpstreamEntry) -> bool:
         known = self.upstreams.get(entry.upstream_id)
         if known is not None and entry.life.started_ms < known.life.started_ms:
             log.warning("entry of an earlier incarnation ignored", upstream=entry.upstream_id)
             return False
+        if known is not None and known.life == entry.life and known.draining:
+            # An incarnation that drains never takes new work again.
+            entry = replace(entry, draining=True)
         self.upstreams[entry.upstream_id] = entry
         if known is None:
             log.info(
@@ -158,16 +193,19 @@
             log.info("upstream restarted", upstream=entry.upstream_id)
         elif entry.draining and not known.draining:
             log.info("upstream draining", upstream=entry.upstream_id)
-        return known is None or (known.life, known.draining, known.address) != (
-            entry.life,
-            entry.draining,
-            entry.address,
-        )
+        return known is None or replace(known, cold_s=entry.cold_s) != entry
 
     def _remove(self, name: str, reason: str) -> bool:
         if self.upstreams.pop(name, None) is None:
             return False
         log.info("upstream gone", upstream=name, reason=reason)
+        now = self._clock.now()
+        self._removals = {
+            other: (revision, at)
+            for other, (revision, at) in self._removals.items()
+            if now - at < REMOVAL_MEMORY_S
+        }
+        self._removals[name] = (self.registry_revision, now)
         return True
 
     def _notify(self) -> None:
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -305,6 +305,7 @@
             owners=parts,
             busy=self._busy_to_send(),
             peers=peers,
+            registry_revision=self._view.registry_revision,
         )
 
     def _busy_to_send(self) -> dict[str, int]:
@@ -416,20 +417,22 @@
             self._view.apply_configuration(state.configuration)
         if self._state_is_fresh and self.configuration_is_up_to_date():
             self._view.note_configuration_read(age_s=state.configuration_age_s)
-        self._apply_registry(state.registry, age_s=state.registry_age_s)
+        self._apply_registry(
+            state.registry, age_s=state.registry_age_s, revision=state.registry_revision
+        )
         for part in state.owners:
             known = self._view.owners.get(part.service)
             if known is None or known.version < part.version:
                 self._view.apply_owners(part.service, apply_part(part, known))
 
-    def _apply_registry(self, part: RegistryPart | None, *, age_s: float) -> None:
+    def _apply_registry(self, part: RegistryPart | None, *, age_s: float, revision: int) -> None:
         if part is None:
             if self._state_is_fresh:
                 self._view.note_registry_read(age_s=age_s)
             return
         entries: dict[str, UpstreamEntry | None] = dict.fromkeys(part.removed)
         entries.update({entry.upstream_id: entry for entry in part.entries})
-        change = RegistryChange(revision=0, complete=part.complete, entries=entries)
+        change = RegistryChange(revision=revision, complete=part.complete, entries=entries)
         self._view.apply_registry(change, age_s=age_s)
 
     def _needs_configuration(self) -> bool:
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -75,7 +75,8 @@
     coordinator and of all linked hosts. ``busy`` has the number of requests in progress at each
     upstream whose slots are all in use, and at each upstream of a service without keys. The
     configuration is sent only to a host that asks for it: in a large deployment it takes hundreds
-    of kilobytes, and the platform has more bandwidth than the coordinator.
+    of kilobytes, and the platform has more bandwidth than the coordinator. ``registry_revision`` is
+    the revision of the registry as the coordinator last read it, 0 if it is not known.
     """
 
     member: str
@@ -90,6 +91,7 @@
     owners: list[OwnersPart]
     busy: dict[str, int]
     peers: list[str]
+    registry_revision: int = 0
 
 
 class Redirect(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
