Never assume the end of a lease too early

Cause: found by reading. Undoing a refused grant also undid grants sent in between, a 5xx answer to an order counted as not carried out, and a release could take a late second copy of an earlier order's response for its own. Each could give a key two owners. Change: each grant in progress is accounted for by itself; only 400, 404, 409 and 421 say that an order was not carried out; a release has a connection of its own.

--- /dev/null
+++ b/features/steps/platform_orders_steps.py
@@ -0,0 +1,131 @@
+"""Steps of users_platform/orders.feature, on loopback."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import h11
+import trio
+from behave import given
+from behave import then
+from behave import when
+from features.support.scripted_upstream import RESET
+from features.support.scripted_upstream import ScriptedServer
+
+from acaciasaddle.errors import UpstreamError
+from acaciasaddle.fleet import UpstreamIncarnation
+from acaciasaddle.keyspace import KeyRange
+from acaciasaddle.keyspace import Owner
+from acaciasaddle.platform import PlatformOrders
+
+KEYS = KeyRange(0, 99)
+EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def _owner(address: str) -> Owner:
+    life = UpstreamIncarnation(upstream_id="u1", started_ms=1)
+    return Owner(incarnation=life, address=address)
+
+
+async def _grant(orders: PlatformOrders, owner: Owner) -> None:
+    await orders.grant(owner, KEYS, fence=1, lease_s=3.5, handover="", timeout_s=0.5)
+
+
+class OrderOutcomeSteps:
+    """Guards against an order that may have been carried out but counts as not carried out."""
+
+    @staticmethod
+    @given('an upstream that answers orders with "{answer}"')
+    def upstream(context: Any, answer: str) -> None:
+        response = f"HTTP/1.1 {answer} X\r\nContent-Length: 0\r\n\r\n"
+        context.server = ScriptedServer(responses=[RESET if answer == RESET else response])
+
+    @staticmethod
+    @when("a grant is sent")
+    def grant(context: Any) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(context.server.run)
+                try:
+                    await _grant(PlatformOrders(), _owner(context.server.address))
+                    context.outcome = "carried out"
+                except UpstreamError as exc:
+                    context.outcome = f"{type(exc).__name__} {exc.outcome.value}"
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    @then('the order ends as "{outcome}"')
+    def ends(context: Any, outcome: str) -> None:
+        assert context.outcome == outcome, context.outcome
+
+
+class SecondCopySteps:
+    """Guards against a late second copy of a response on a connection that is in use again."""
+
+    @staticmethod
+    @given("an upstream that answers a grant twice, the second time {seconds:g} s later")
+    def upstream(context: Any, seconds: float) -> None:
+        context.delay_s = seconds
+
+    @staticmethod
+    async def _serve(context: Any, stream: trio.SocketStream) -> None:
+        number = len(context.orders_by_connection)
+        context.orders_by_connection.append([])
+        parser = h11.Connection(h11.SERVER)
+        async with stream:
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await stream.receive_some(65_536))
+                elif isinstance(event, h11.Request):
+                    context.orders_by_connection[number].append(event.target.decode())
+                elif isinstance(event, h11.ConnectionClosed):
+                    return
+                elif isinstance(event, h11.EndOfMessage):
+                    await SecondCopySteps._answer(context, stream, number)
+                    parser = h11.Connection(h11.SERVER)
+
+    @staticmethod
+    async def _answer(context: Any, stream: trio.SocketStream, number: int) -> None:
+        if context.orders_by_connection[number][-1].endswith("release"):
+            # The work in progress on the keys takes longer than the second copy.
+            await trio.sleep(context.delay_s * 2)
+            await stream.send_all(EMPTY_RESPONSE.replace(b"OK\r\n", b"OK\r\nHandover: h1\r\n"))
+            return
+        await stream.send_all(EMPTY_RESPONSE)
+
+        await trio.sleep(context.delay_s)
+        await stream.send_all(EMPTY_RESPONSE)
+
+    @staticmethod
+    @when("a grant is sent, and then a release")
+    def grant_and_release(context: Any) -> None:
+        context.orders_by_connection = []
+
+        async def main() -> None:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+            async with trio.open_nursery() as nursery:
+
+                async def serve(stream: trio.SocketStream) -> None:
+                    await SecondCopySteps._serve(context, stream)
+
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                orders, owner = PlatformOrders(), _owner(address)
+                await _grant(orders, owner)
+                context.handover = await orders.release(owner, KEYS, fence=2, timeout_s=1.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    @then("the release was sent on a connection of its own")
+    def own_connection(context: Any) -> None:
+        assert [len(orders) for orders in context.orders_by_connection] == [1, 1]
+
+    @staticmethod
+    @then('its handover is "{handover}"')
+    def handover(context: Any, handover: str) -> None:
+        assert context.handover == handover, context.handover
--- /dev/null
+++ b/features/users_platform/orders.feature
@@ -0,0 +1,22 @@
+Feature: Orders to upstreams
+  Guards against keys that are granted elsewhere because the outcome of an order was misread.
+
+  Scenario Outline: an order that was not answered as the platform specifies may have been carried out
+    Given an upstream that answers orders with "<answer>"
+    When a grant is sent
+    Then the order ends as "<outcome>"
+
+    Examples:
+      | answer         | outcome              |
+      | 200            | carried out          |
+      | 409            | FencedError not-run  |
+      | 404            | ReplacedError not-run |
+      | 500            | UpstreamError unknown |
+      | 503            | UpstreamError unknown |
+      | reset          | UpstreamError unknown |
+
+  Scenario: a second copy of a grant's response is not taken for the response to a release
+    Given an upstream that answers a grant twice, the second time 0.05 s later
+    When a grant is sent, and then a release
+    Then the release was sent on a connection of its own
+    And its handover is "h1"
--- a/src/acaciasaddle/keyspace/_grants.py
+++ b/src/acaciasaddle/keyspace/_grants.py
@@ -78,7 +78,7 @@
             for span in owners.spans:
                 for owner in (span.owner, span.previous):
                     if owner is not None:
-                        self._owner_states.setdefault(owner, OwnerState(held_until=held_until))
+                        self._owner_states.setdefault(owner, OwnerState(settled_until=held_until))
 
     def usable(self, owner: Owner) -> bool:
         """Return whether an upstream is not known to be lost."""
@@ -159,7 +159,7 @@
 
     def owner_state(self, owner: Owner) -> OwnerState:
         """Return the state of an owner. A new one is created for an unknown owner."""
-        return self._owner_states.setdefault(owner, OwnerState(held_until=self._clock.now()))
+        return self._owner_states.setdefault(owner, OwnerState(settled_until=self._clock.now()))
 
     async def grant(self, span: Span, *, handover: str = "") -> None:
         """Grant or renew the keys of a span.
@@ -175,7 +175,8 @@
         store_failing = self._role.since_write_s > STORE_FAILING_AFTER_S
         lease_s = self._max_lease_s if store_failing or self.stopping else KEY_LEASE_S
         state = self.owner_state(span.owner)
-        before = state.record_grant(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
+        number = state.record_grant(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
+        carried_out = True
         try:
             await self._orders.grant(
                 span.owner,
@@ -189,9 +190,10 @@
             state.ended = state.lost = True
             raise
         except UpstreamError as exc:
-            if exc.outcome is Outcome.NOT_RUN:
-                state.undo_grant(before)
+            carried_out = exc.outcome is not Outcome.NOT_RUN
             raise
+        finally:
+            state.settle_grant(number, carried_out=carried_out)
         state.record_success()
         self._metrics.count("keyspace.granted")
 
--- a/src/acaciasaddle/keyspace/_leases.py
+++ b/src/acaciasaddle/keyspace/_leases.py
@@ -26,14 +26,17 @@
 class OwnerState:
     """What the coordinator knows of one incarnation of an upstream that holds or held keys.
 
-    All leases granted so far have certainly ended by ``held_until``. ``failing_since`` is the time
-    of the first failed grant since the last success, or ``None``. A ``lost`` upstream is given no
-    keys. An incarnation that has ``ended`` holds no keys any more. ``renewing`` is true while a
-    task renews its leases. ``release_slots`` limits concurrent releases; at a lost upstream,
-    ``lost_release_lock`` allows only one at a time.
+    Leases whose grants were answered or given up have certainly ended by ``settled_until``.
+    ``grants_in_progress`` has the end of the lease of each other grant, by its number.
+    ``failing_since`` is the time of the first failed grant since the last success, or ``None``. A
+    ``lost`` upstream is given no keys. An incarnation that has ``ended`` holds no keys any more.
+    ``renewing`` is true while a task renews its leases. ``release_slots`` limits concurrent
+    releases; at a lost upstream, ``lost_release_lock`` allows only one at a time.
     """
 
-    held_until: float
+    settled_until: float
+    grant_count: int = 0
+    grants_in_progress: dict[int, float] = field(default_factory=dict)
     failing_since: float | None = None
     lost: bool = False
     ended: bool = False
@@ -43,22 +46,28 @@
         default_factory=lambda: trio.Semaphore(MAX_CONCURRENT_RELEASES)
     )
 
-    def record_grant(self, *, now: float, timeout_s: float, lease_s: float) -> float:
+    @property
+    def held_until(self) -> float:
+        """Time by which all leases granted so far, and those being granted, have ended."""
+        return max(self.settled_until, *self.grants_in_progress.values(), 0.0)
+
+    def record_grant(self, *, now: float, timeout_s: float, lease_s: float) -> int:
         """Record a grant that is about to be sent, and that arrives within its timeout or never.
 
-        Return the previous ``held_until``, to be passed to ``undo_grant``.
+        Return a number to be passed to ``settle_grant``.
         """
-        before = self.held_until
-        self.held_until = max(before, lease_end(now + timeout_s, lease_s))
-        return before
+        self.grant_count += 1
+        self.grants_in_progress[self.grant_count] = lease_end(now + timeout_s, lease_s)
+        return self.grant_count
 
-    def undo_grant(self, before: float) -> None:
-        """Undo ``record_grant`` for a grant that the upstream did not carry out.
+    def settle_grant(self, number: int, *, carried_out: bool) -> None:
+        """Record that a grant has been answered or given up.
 
-        Grants that were recorded in between are undone as well, even those that succeeded.
-        ``held_until`` may then be before the end of their leases, until later grants extend it.
+        One that was certainly not ``carried_out`` no longer counts; other grants are not affected.
         """
-        self.held_until = before
+        until = self.grants_in_progress.pop(number)
+        if carried_out:
+            self.settled_until = max(self.settled_until, until)
 
     def record_success(self) -> None:
         """Record a successful grant or probe, so that the upstream is not lost."""
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -59,7 +59,8 @@
 
     async def release(self, owner: Owner, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
         body: dict[str, object] = {"from": keys.first, "to": keys.last, "fence": fence}
-        return (await self._send_order("release", owner, body, timeout_s)).get(HANDOVER, "")
+        fields = await self._send_order("release", owner, body, timeout_s, fresh=True)
+        return fields.get(HANDOVER, "")
 
     async def reachable(self, address: str, *, timeout_s: float) -> bool:
         try:
@@ -76,8 +77,20 @@
             conn.abort()
 
     async def _send_order(
-        self, name: str, owner: Owner, body: dict[str, object], timeout_s: float
+        self,
+        name: str,
+        owner: Owner,
+        body: dict[str, object],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
     ) -> dict[str, str]:
+        """Send an order and return the headers of its response.
+
+        Responses to orders do not say which order they answer. A ``fresh`` order has a connection
+        of its own, on which no second copy of an earlier response can arrive: keys must not be
+        granted elsewhere because an earlier order was answered twice.
+        """
         address = owner.address
         data = json.dumps(body).encode()
         headers = [
@@ -90,7 +103,7 @@
         step = f"orders.{name}"
         try:
             with trio.fail_after(timeout_s):
-                conn = await self._connection(address)
+                conn = await self._connection(address, fresh=fresh)
                 resp = await conn.exchange(
                     method="POST", target=f"{PATH_PREFIX}/{name}", headers=headers, body=data
                 )
@@ -119,14 +132,14 @@
         if resp.status != 200:
             raise UpstreamError(
                 f"the upstream answered with status {resp.status}",
-                outcome=Outcome.NOT_RUN,
+                outcome=Outcome.UNKNOWN,
                 step=step,
                 peer=address,
             )
         return resp.fields
 
-    async def _connection(self, address: str) -> ClientConnection:
-        conn = self._idle.pop(address, None)
+    async def _connection(self, address: str, *, fresh: bool) -> ClientConnection:
+        conn = self._idle.pop(address, None) if not fresh else None
         if conn is not None:
             if conn.is_open_and_idle():
                 return conn
