Miss no change between pages of a table, and split by weights of 0

Cause: found by reading. A table read in pages returned the version of its last page, so changes between the pages were missed; a truncated feed continued after rows that it had left out; a split whose weights are all 0 divided by zero and ended the process. Change: the first page's version, the last row's version, and equal shares. The step 'read in pages' expected the last page's version; it now expects the first page's, which is the stricter one.

--- a/features/routing/match.feature
+++ b/features/routing/match.feature
@@ -20,3 +20,8 @@
     Given a route split "one 90, two 10"
     When 40 requests are split
     Then the split is "one 36, two 4"
+
+  Scenario: targets whose weights are all 0 get equal shares
+    Given a route split "one 0, two 0"
+    When 40 requests are split
+    Then the split is "one 20, two 20"
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -60,6 +60,9 @@
     "two rows": _response(200, {"rows": [_row("a", 19), _row("b", 20)], "ver": 20, "nowS": 1}),
     "unreadable row": _response(200, {"rows": [_stored("a", 19, b"{}")], "ver": 20, "nowS": 1}),
     "gone": _response(410, ""),
+    "truncated changes": _response(
+        200, {"rows": [_row("a", 19), _row("b", 20)], "truncated": True, "ver": 44}
+    ),
     "first page": _response(
         200, {"rows": [_row("a", 1), _row("b", 2)], "truncated": True, "ver": 29}
     ),
--- a/features/users_platform/store.feature
+++ b/features/users_platform/store.feature
@@ -38,7 +38,12 @@
   Scenario: a table that does not fit in one response is read in pages
     Given the store answers "first page, last page"
     When the store client reads a table
-    Then the read ends as "3 rows at 30"
+    Then the read ends as "3 rows at 29"
+
+  Scenario: changes continue after the last row of a truncated response
+    Given the store answers "truncated changes"
+    When the store client reads changes
+    Then the read ends as "2 rows at 20"
 
   Scenario: a removed or unusable entry does not count as an upstream
     Given the store answers "entries"
--- a/src/acaciasaddle/platform/_store.py
+++ b/src/acaciasaddle/platform/_store.py
@@ -89,23 +89,35 @@
         self.calls = 0
 
     async def rows(self, table: str) -> _Rows:
-        """Return all rows of a table, read in pages; the version is that of the last page."""
+        """Return all rows of a table, read in pages; the version is that of the first page.
+
+        Changes that are made between two pages are then part of the next feed.
+        """
         rows: list[_StoredRow] = []
         start = ""
+        version: int | None = None
         while True:
             query = {"table": table, "part": "", "limit": str(MAX_ROWS)}
             if start:
                 query["from"] = start
             page = await self._get("rows-get", query, wait_s=0.0)
             rows += page.rows
+            version = page.ver if version is None else version
             if not page.truncated or not page.rows:
-                return _Rows(ver=page.ver, rows=rows)
+                return _Rows(ver=version, rows=rows)
             start = page.rows[-1].key + "\0"
 
     async def feed(self, table: str, *, after: int, wait_s: float) -> _Rows:
-        """Return the rows changed after a version; wait up to ``wait_s`` for the first one."""
+        """Return the rows changed after a version; wait up to ``wait_s`` for the first one.
+
+        The version of a truncated response is that of its last row, from which the next call
+        continues.
+        """
         query = {"table": table, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        return await self._get("rows-feed", query, wait_s=wait_s)
+        page = await self._get("rows-feed", query, wait_s=wait_s)
+        if page.truncated and page.rows:
+            return _Rows(ver=page.rows[-1].ver, rows=page.rows)
+        return page
 
     async def transact(self, body: dict[str, Any]) -> int:
         """Apply a transaction and return its version.
--- a/src/acaciasaddle/routing/_match.py
+++ b/src/acaciasaddle/routing/_match.py
@@ -42,6 +42,7 @@
 
     Each request adds to every target's credit its share of the weights. The target with the highest
     credit is chosen and its credit is reduced by 1, so that the shares hold for few requests too.
+    Targets whose weights are all 0 get equal shares.
     """
 
     def __init__(self) -> None:
@@ -52,10 +53,13 @@
         if len(route.targets) == 1:
             return route.targets[0].service
         credit = self._credit.get(route.name, {})
-        total = sum(target.weight for target in route.targets)
+        weights = {target.service: max(0.0, target.weight) for target in route.targets}
+        if not any(weights.values()):
+            weights = dict.fromkeys(weights, 1.0)
+        total = sum(weights.values())
         credit = {
-            target.service: credit.get(target.service, 0.0) + target.weight / total
-            for target in route.targets
+            service: credit.get(service, 0.0) + weight / total
+            for service, weight in weights.items()
         }
         chosen = max(credit, key=lambda service: credit[service])
         credit[chosen] -= 1.0
