Bound bytes without end, and pass on no promise that an upstream did not make

Cause: a body without end was buffered up to 64 MiB for each response, more than a host has for four of them; interim responses and responses to other requests were dropped without limit; a 503, 429, 408 or 421 without Not-Executed was passed on, though it tells a caller that its request has not run. 421 of an owner was not bounded by MAX_SENDS; an upstream taken for replaced was never used again. Change: 16 MiB a response, 48 MiB for all unfinished ones beyond 256 KiB each, 8 dropped responses; such a status without the statement counts as an unknown outcome; both bounds as the names say; 'replaced' holds for one incarnation and address.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -43,6 +43,8 @@
       | truncated | 502    |      | 1        |
       | unsigned  | 502    |      | 1        |
       | garbage   | 502    |      | 1        |
+      | bare 503  | 502    |      | 1        |
+      | bare 429  | 502    |      | 1        |
 
   Scenario: an attempt to reach an unreachable upstream does not use the repeat budget
     Given an unreachable upstream "u1" of the open service
@@ -178,3 +180,32 @@
       | upstream "u1" of the open service answers "reset"     | the repeat budget is spent           | a booking is forwarded                     | the upstream did not answer   |
       | upstream "u1" of the open service answers "silent"    | the repeat budget is spent           | a booking is forwarded                     | no response in time           |
       | an unreachable upstream "u1" of the keyed service     | "u1" owns all keys                   | a lookup with key 77 is forwarded          | the owner is silent           |
+
+  Scenario: a request is not sent again and again to an owner that says it does not own the key
+    Given upstream "u1" of the keyed service answers "moved"
+    And "u1" owns all keys
+    And other changes of the view arrive all the time
+    When a lookup with key 77 is forwarded
+    Then the caller gets 503 ""
+    And upstreams got 4 requests
+
+  Scenario: an upstream that registers at a new address is used again
+    Given upstream "u1" of the open service answers "replaced, ok"
+    And "u1" registers anew after each request
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+
+  Scenario Outline: bytes without end take no more than their share of memory
+    Given upstream "u1" of the open service answers "<answer>"
+    When a booking is forwarded
+    Then the caller gets <status> ""
+    And upstream "u1" saw its connection closed
+    And the process held at most 40 MB more
+
+    Examples:
+      | answer             | status |
+      | endless head       | 502    |
+      | endless interim    | 502    |
+      | endless chunks     | 502    |
+      | endless unframed   | 502    |
+      | endless others     | 502    |
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from collections import Counter
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 
 import trio
@@ -147,6 +149,16 @@
     def moving_long(context: Any, name: str) -> None:
         context.owner = (name, 99.0)
 
+    @staticmethod
+    @given("other changes of the view arrive all the time")
+    def many_changes(context: Any) -> None:
+        context.changes_often = True
+
+    @staticmethod
+    @given('"{name}" registers anew after each request')
+    def registers_anew(context: Any, name: str) -> None:
+        context.restarts = name
+
     @staticmethod
     @given("no configuration")
     def no_configuration(context: Any) -> None:
@@ -219,17 +231,40 @@
                 for index, name in enumerate(sorted(entries)):
                     forwarder._states.of(name).response_s = 0.01 * 10**index
                     forwarder._slot_times.by_upstream[name] = 0.01 * 2**index
+                if hasattr(context, "changes_often"):
+                    nursery.start_soon(ForwarderRequestSteps._change_often, view)
+                tracemalloc.start()
                 for number, path in enumerate(paths, start=1):
                     started = trio.current_time()
                     context.response = await forwarder.handle(_request(path, number, key))
                     context.waited = trio.current_time() - started
                     await trio.sleep(0.02)
+                    ForwarderRequestSteps._restart(context, view, number + 1)
+                context.peak_bytes = tracemalloc.get_traced_memory()[1]
+                tracemalloc.stop()
+                await trio.sleep(0.05)
                 nursery.cancel_scope.cancel()
 
         context.metrics = CountingMetrics()
         with capture_logs() as context.log_lines:
             trio.run(main)
 
+    @staticmethod
+    async def _change_often(view: FleetView) -> None:
+        while True:
+            view.changed.set()
+            view.changed = trio.Event()
+            await trio.sleep(0.005)
+
+    @staticmethod
+    def _restart(context: Any, view: FleetView, started_ms: int) -> None:
+        name = getattr(context, "restarts", "")
+        if name:
+            life = UpstreamIncarnation(upstream_id=name, started_ms=started_ms)
+            entry = replace(view.upstreams[name], life=life)
+            change = RegistryChange(revision=2, complete=False, entries={name: entry})
+            view.apply_registry(change)
+
     @staticmethod
     async def _set_owner(
         context: Any, view: FleetView, entries: dict[str, Any], nursery: trio.Nursery
@@ -295,6 +330,16 @@
         found = context.servers[name][1].connections
         assert found == count, found
 
+    @staticmethod
+    @then('upstream "{name}" saw its connection closed')
+    def closed(context: Any, name: str) -> None:
+        assert context.servers[name][1].broken_connections == 1
+
+    @staticmethod
+    @then("the process held at most {megabytes:d} MB more")
+    def held(context: Any, megabytes: int) -> None:
+        assert context.peak_bytes < megabytes * 1_000_000, context.peak_bytes
+
     @staticmethod
     def _headers(context: Any) -> dict[str, str]:
         request, _ = context.servers["u1"][1].requests[0]
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -11,6 +11,9 @@
 RESET = "reset"
 SILENT = "silent"
 CLOSE = "close"
+ENDLESS = "<endless>"
+REPEATED_BYTES = 65_536
+"""Smallest amount in which the endless part of a response is sent."""
 
 
 class ScriptedServer:
@@ -18,7 +21,8 @@
 
     The last response is repeated. ``{id}`` in a response is replaced by the request's id. The
     responses ``reset``, ``silent`` and ``close`` reset the connection, send nothing, or close the
-    connection. After a response that begins with ``+`` the connection stays open.
+    connection. After a response that begins with ``+`` the connection stays open. The part of a
+    response after ``ENDLESS`` is sent again and again until the client closes the connection.
     """
 
     def __init__(self, *, responses: list[str]) -> None:
@@ -71,7 +75,10 @@
             return False
         headers = {name.decode(): value.decode() for name, value in request.headers}
         text = response.lstrip("+").replace("{id}", headers.get("request-id", ""))
+        text, _, repeated = text.partition(ENDLESS)
         await stream.send_all(text.replace("\\r\\n", "\r\n").encode())
+        while repeated:
+            await stream.send_all(repeated.encode() * (REPEATED_BYTES // len(repeated) + 1))
         return response.startswith("+")
 
 
@@ -107,6 +114,15 @@
     "surplus after": ok() + ok("other").lstrip("+"),
     "two lengths": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.5\r\n"
     "Content-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
+    "bare 503": "+HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+    "bare 429": "+HTTP/1.1 429 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+    "endless head": f"HTTP/1.1 200 OK\r\nRequest-Id: {{id}}\r\n{ENDLESS}X-More: and more\r\n",
+    "endless interim": f"{ENDLESS}HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "endless chunks": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.6\r\n"
+    f"Transfer-Encoding: chunked\r\n\r\n{ENDLESS}1000\r\n{'x' * 4096}\r\n",
+    "endless unframed": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.7\r\n"
+    f"\r\n{ENDLESS}{'x' * 4096}",
+    "endless others": ENDLESS + ok("other", request_id="r-0").lstrip("+"),
     "reset": RESET,
     "silent": SILENT,
     "close": CLOSE,
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -64,6 +64,9 @@
 """Pause before a request is sent again after a failed send, or to an owner that rejected it
 although it has free slots."""
 MAX_SENDS = 4
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run. An upstream's response with one of
+them is no such promise unless it says so itself."""
 
 log = get_logger("forward")
 
@@ -212,7 +215,7 @@
                 continue
             if self._dialect.is_not_run(resp.status, resp.fields):
                 if self._dialect.is_other_upstream(resp.fields, upstream.upstream_id):
-                    self._states.of(upstream.upstream_id).replaced = True
+                    self._states.of(upstream.upstream_id).note_replaced(upstream)
                 await self._handle_rejection(pending, upstream, resp.status)
                 continue
             if resp.status >= 500 and self._may_resend(pending, upstream):
@@ -257,16 +260,16 @@
         not registered. Raises ``RefusedError`` if no owner is found, or if it is silent or too
         busy.
         """
-        now = trio.current_time()
-        wait_until = min(now + OWNER_WAIT_S, pending.ends_at)
+        wait_until = min(trio.current_time() + OWNER_WAIT_S, pending.ends_at)
         service = pending.service.name
         while True:
+            now = trio.current_time()
             changed = self._view.changed
             owners = self._view.owners.get(service)
             span = owners.find(key) if owners is not None else None
             entry = self._active_owner(span)
             if entry is not None:
-                silent_until = self._states.of(entry.upstream_id).silent_until(now)
+                silent_until = self._states.of(entry.upstream_id).silent_until(entry, now)
                 if silent_until is not None:
                     raise _refused("the owner is silent", silent_until - now, "choose")
                 self._admit(pending, entry)
@@ -350,13 +353,11 @@
                 body=pending.req.body,
                 matches=lambda fields: self._dialect.answers(fields, pending.metadata),
             )
-            if 200 <= resp.status < 300 and not self._dialect.is_signed(resp.fields):
+            problem = self._problem_of(resp)
+            if problem:
                 conn.reusable = False
                 raise UpstreamError(
-                    "the response carries no signature",
-                    outcome=Outcome.UNKNOWN,
-                    step="send",
-                    peer=upstream.upstream_id,
+                    problem, outcome=Outcome.UNKNOWN, step="send", peer=upstream.upstream_id
                 )
         except UpstreamError as exc:
             if exc.outcome is Outcome.NOT_RUN:
@@ -379,6 +380,16 @@
         self._add_load_sample(pending, upstream_id=upstream.upstream_id, seconds=seconds)
         return resp
 
+    def _problem_of(self, resp: Response) -> str:
+        """Return why a response may not be passed on to the caller, or an empty string."""
+        if 200 <= resp.status < 300 and not self._dialect.is_signed(resp.fields):
+            return "the response carries no signature"
+        if resp.status in PROMISING_STATUSES and not self._dialect.is_not_run(
+            resp.status, resp.fields
+        ):
+            return f"status {resp.status} does not state that the request was not run"
+        return ""
+
     def _headers(self, pending: _PendingRequest, upstream: UpstreamEntry, now: float) -> RawHeaders:
         headers = end_to_end_headers(pending.req.headers, without=self._dialect.system_headers)
         headers += self._dialect.upstream_headers(
@@ -464,15 +475,17 @@
         random, so the next send is as likely to succeed as the first. Raises ``RefusedError`` if
         the owner has ended.
         """
-        if self._states.of(owner.upstream_id).replaced:
+        if self._states.of(owner.upstream_id).is_replaced(owner):
             raise _refused("the owner has ended", NO_UPSTREAM_RETRY_S, "send")
+        if pending.sends >= MAX_SENDS:
+            return False
         if status == 421:
             # The key has probably moved; wait for the change of owners to arrive.
             changed = self._view.changed
             with trio.move_on_after(OWNER_WAIT_S / 2):
                 await changed.wait()
             return True
-        if self._busy_at(owner.upstream_id) >= owner.slots or pending.sends >= MAX_SENDS:
+        if self._busy_at(owner.upstream_id) >= owner.slots:
             return False
         await trio.sleep(RESEND_PAUSE_S)
         return True
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from acaciasaddle.fleet import UpstreamIncarnation
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
@@ -38,18 +40,26 @@
 
     ``in_flight`` counts the requests in progress, ``response_s`` is a moving average, and
     ``failures`` counts consecutive failures. Until ``avoid_until`` other upstreams are preferred.
-    ``replaced`` is set when another upstream answered at its address, and is never cleared.
+    ``replaced`` is the incarnation and address at which another upstream answered, if any.
     """
 
     in_flight: int = 0
     response_s: float = INITIAL_RESPONSE_S
     failures: int = 0
     avoid_until: float = 0.0
-    replaced: bool = False
+    replaced: tuple[UpstreamIncarnation, str] | None = None
+
+    def note_replaced(self, entry: UpstreamEntry) -> None:
+        """Record that another upstream answered at the address of an entry."""
+        self.replaced = (entry.life, entry.address)
+
+    def is_replaced(self, entry: UpstreamEntry) -> bool:
+        """Return whether another upstream answered at the address of this incarnation."""
+        return self.replaced == (entry.life, entry.address)
 
-    def silent_until(self, now: float) -> float | None:
+    def silent_until(self, entry: UpstreamEntry, now: float) -> float | None:
         """Return the time until which the upstream counts as silent, or ``None`` if it does not."""
-        if self.replaced:
+        if self.is_replaced(entry):
             return now + MAX_PENALTY_S
         if self.failures >= SILENT_AFTER_FAILURES and self.avoid_until > now:
             return self.avoid_until
@@ -102,7 +112,7 @@
         avoided now are only considered if all others are ruled out.
         """
         options = [entry for entry in upstreams if entry.upstream_id not in tried]
-        options = [e for e in options if not self.of(e.upstream_id).replaced]
+        options = [e for e in options if not self.of(e.upstream_id).is_replaced(e)]
         preferred = [e for e in options if self.of(e.upstream_id).avoid_until <= now]
         options = preferred or options
         if not options:
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -11,6 +11,7 @@
 import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import ClassVar
 
 import h11
 import trio
@@ -25,8 +26,15 @@
 
 RECEIVE_BYTES = 65_536
 MAX_RESPONSE_HEADER_BYTES = 65_536
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Responses are held in memory until they are complete; hosts have about 200 MB."""
+UNCOUNTED_BYTES = 256 * 1024
+"""Bytes of each response that do not count towards ``MAX_BUFFERED_BYTES``, so that common responses
+are still received while a few upstreams send bodies without end."""
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+"""Limit on the bytes of all unfinished responses of the process."""
+MAX_DROPPED_RESPONSES = 8
+"""Interim responses and responses to earlier requests that are dropped while one is awaited."""
 SMALL_BODY_BYTES = 8_192
 """A body up to this size fits the socket buffers of both ends, so it is sent completely before the
 response is read. A larger one is sent in a task of its own while the response is read."""
@@ -48,6 +56,33 @@
     body: bytes
 
 
+class _ReceiveBuffer:
+    """The body of one response while it is received. All buffers share ``MAX_BUFFERED_BYTES``."""
+
+    _total_bytes: ClassVar[int] = 0
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self._counted = 0
+
+    def add(self, data: bytes) -> bool:
+        """Append data and return true, or return false if that would exceed a limit."""
+        size = len(self.data) + len(data)
+        counted = max(0, size - UNCOUNTED_BYTES)
+        total = _ReceiveBuffer._total_bytes + counted - self._counted
+        if size > MAX_RESPONSE_BYTES or (counted and total > MAX_BUFFERED_BYTES):
+            return False
+        _ReceiveBuffer._total_bytes = total
+        self._counted = counted
+        self.data += data
+        return True
+
+    def release(self) -> None:
+        """Note that the response is complete or given up."""
+        _ReceiveBuffer._total_bytes -= self._counted
+        self._counted = 0
+
+
 class ClientConnection:
     """A connection that carries one request at a time.
 
@@ -64,6 +99,7 @@
         self.keep_alive_s: float | None = None
         self.idle_since = trio.current_time()
         self.requests = 0
+        self._dropped = 0
 
     @classmethod
     async def connect(cls, *, address: str, timeout_s: float) -> ClientConnection:
@@ -116,6 +152,7 @@
         """
         self.reusable = False
         self.requests += 1
+        self._dropped = 0
         try:
             request = h11.Request(method=method, target=target, headers=list(headers))
             head = self._parser.send(request) or b""
@@ -181,6 +218,7 @@
             # A new parser reads the next response, beginning with the bytes already received after
             # this one. The request that it is given is not sent; its method decides how a response
             # is framed.
+            self._note_dropped()
             rest, closed = self._parser.trailing_data
             if closed or not framed:
                 raise self._unknown_outcome(
@@ -206,10 +244,34 @@
             self._parser.start_next_cycle()
             self.reusable = True
 
+    def _note_dropped(self) -> None:
+        """Count a dropped response; raise ``UpstreamError`` if there are too many of them."""
+        self._dropped += 1
+        if self._dropped > MAX_DROPPED_RESPONSES:
+            raise self._unknown_outcome("too many responses that answer no request")
+
     async def _receive_one(self) -> tuple[Response, bool]:
         """Return the next final response, and whether its framing marked its end."""
+        buffer = _ReceiveBuffer()
+        try:
+            head = await self._receive_into(buffer)
+        finally:
+            buffer.release()
+        fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+        framed = "content-length" in fields or "transfer-encoding" in fields
+        framed = framed or head.status_code in (204, 304)
+        response = Response(
+            status=head.status_code,
+            reason=bytes(head.reason),
+            headers=list(head.headers.raw_items()),
+            fields=fields,
+            body=bytes(buffer.data),
+        )
+        return response, framed
+
+    async def _receive_into(self, buffer: _ReceiveBuffer) -> h11.Response:
+        """Receive a final response; return its head and append its body to the buffer."""
         head: h11.Response | None = None
-        body = bytearray()
         while True:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
@@ -217,25 +279,15 @@
                 self._parser.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
+            elif isinstance(event, h11.InformationalResponse):
+                self._note_dropped()
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_RESPONSE_BYTES:
+                if not buffer.add(bytes(event.data)):
                     raise self._unknown_outcome("the response exceeds the size limit")
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                break
+                return head
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 raise self._unknown_outcome("connection closed before the end of the response")
-        fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-        framed = "content-length" in fields or "transfer-encoding" in fields
-        framed = framed or head.status_code in (204, 304)
-        response = Response(
-            status=head.status_code,
-            reason=bytes(head.reason),
-            headers=list(head.headers.raw_items()),
-            fields=fields,
-            body=bytes(body),
-        )
-        return response, framed
 
     def _unknown_outcome(self, reason: str) -> UpstreamError:
         return UpstreamError(reason, outcome=Outcome.UNKNOWN, step="http1.receive", peer=self._peer)
