Answer requests that reached a stopping host before it stopped accepting

Change: a stopping server accepts the connections that wait for it, for at most 0.1 s, and serves their requests; an idle connection is read once more before it is closed.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -57,3 +57,13 @@
     Then the responses are "200 /1, 200 /2"
     And the last response closes the connection
     And no new connection is accepted
+
+  Scenario Outline: a request that reached the host before it stopped is answered
+    Given a listener whose handler takes "0.05" s
+    When a request is sent on <connection>, and the listener stops before it could read it
+    Then the responses are "200 /1"
+
+    Examples:
+      | connection                            |
+      | a kept connection                     |
+      | a connection that is not accepted yet |
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -89,6 +90,35 @@
 
         trio.run(main)
 
+    @staticmethod
+    @when("a request is sent on {connection}, and the listener stops before it could read it")
+    def request_and_stop(context: Any, connection: str) -> None:
+        async def handle(req: CallerRequest) -> CallerResponse:
+            return await CallerSteps._handle(context, req)
+
+        async def main() -> None:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = probe.getsockname()
+            server = HttpServer(
+                address=f"127.0.0.1:{address[1]}", limits=lambda: LIMITS, handle=handle
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                # Nothing of the server runs between these calls, except in the pause.
+                caller = socket.create_connection(address)
+                if connection == "a kept connection":
+                    await trio.sleep(0.05)
+                caller.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                server.announce_close()
+                server.close_idle()
+                caller.setblocking(False)
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+                await CallerSteps._read(context, stream)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     @staticmethod
     async def _read(context: Any, stream: trio.SocketStream) -> None:
         raw = b""
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -34,6 +34,8 @@
 LINGER_S = 1.0
 """Time for a caller to read the last response; closing with unread input would reset the connection
 and could discard that response."""
+LAST_INPUT_S = 0.01
+"""Time to read input that has already arrived when an idle connection is about to be closed."""
 BODY_TIMEOUT_S = 30.0
 SEND_TIMEOUT_S = 30.0
 
@@ -266,8 +268,10 @@
         if self.closing:
             self._idle_scope.cancel()
         with self._idle_scope:
-            while not self._parser.trailing_data[0]:
-                await self._received.wait()
+            await self._wait_for_input()
+        with trio.move_on_after(LAST_INPUT_S):
+            # A request that reached this host before the connection is closed is still read.
+            await self._wait_for_input()
         if not self._parser.trailing_data[0]:
             return None
         with trio.move_on_after(self._limits.header_timeout_s):
@@ -277,6 +281,10 @@
             "the request head did not arrive in time", error_status_hint=408
         )
 
+    async def _wait_for_input(self) -> None:
+        while not self._parser.trailing_data[0]:
+            await self._received.wait()
+
     async def _read_body(self) -> bytes:
         body = bytearray()
         with trio.move_on_after(BODY_TIMEOUT_S):
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -23,6 +23,11 @@
 
 BACKLOG = 512
 ACCEPT_RETRY_S = 0.05
+WAITING_CONNECTION_S = 0.01
+ACCEPT_REST_S = 0.1
+"""Longest time for which a server that stops accepts the connections that wait for it."""
+LAST_REQUEST_S = 0.2
+"""Time in which a connection that was accepted last can send its request."""
 
 log = get_logger("listener")
 
@@ -92,15 +97,33 @@
         sock.listen(BACKLOG)
         task_status.started()
         async with trio.open_nursery() as nursery:
-            with sock, self._accepting:
-                while True:
-                    try:
-                        accepted, _ = await sock.accept()
-                    except OSError as exc:
-                        log.warning("cannot accept connection", reason=str(exc))
-                        await trio.sleep(ACCEPT_RETRY_S)
-                        continue
-                    nursery.start_soon(self._serve_connection, accepted)
+            with sock:
+                with self._accepting:
+                    while True:
+                        await self._accept(sock, nursery)
+                with trio.move_on_after(ACCEPT_REST_S):
+                    await self._accept_waiting(sock, nursery)
+            await trio.sleep(LAST_REQUEST_S)
+            for conn in self._connections:
+                conn.close_soon()
+
+    async def _accept_waiting(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+        """Accept the connections that were made before the stop: closing would reset them."""
+        accepted = True
+        while accepted:
+            accepted = False
+            with trio.move_on_after(WAITING_CONNECTION_S):
+                await self._accept(sock, nursery)
+                accepted = True
+
+    async def _accept(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+        try:
+            accepted, _ = await sock.accept()
+        except OSError as exc:
+            log.warning("cannot accept connection", reason=str(exc))
+            await trio.sleep(ACCEPT_RETRY_S)
+            return
+        nursery.start_soon(self._serve_connection, accepted)
 
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
