Let releases use kept connections again, safely

Change: a release may use a kept connection that has carried no release, and takes only a response with a handover for its own; a connection carries at most one release. Responses are matched as a whole. The scenario asked for a connection of its own; it now asks for the right handover, also for the second of two releases, which is stricter.

--- a/features/users_platform/orders.feature
+++ b/features/users_platform/orders.feature
@@ -17,6 +17,10 @@
 
   Scenario: a second copy of a grant's response is not taken for the response to a release
     Given an upstream that answers a grant twice, the second time 0.05 s later
-    When a grant is sent, and then a release
-    Then the release was sent on a connection of its own
-    And its handover is "h1"
+    When a grant and a release are sent
+    Then the handovers are "h1"
+
+  Scenario: a second copy of a release's response is not taken for the response to the next one
+    Given an upstream that answers a release twice, the second time 0.05 s later
+    When a grant, a release and a release are sent
+    Then the handovers are "h1, h2"
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -144,7 +144,7 @@
         target: str,
         headers: Sequence[tuple[bytes, bytes]],
         body: bytes = b"",
-        matches: Callable[[dict[str, str]], bool] | None = None,
+        matches: Callable[[Response], bool] | None = None,
     ) -> Response:
         """Send a request and return its response.
 
@@ -179,7 +179,7 @@
         self,
         request: h11.Request,
         data: bytes,
-        matches: Callable[[dict[str, str]], bool] | None,
+        matches: Callable[[Response], bool] | None,
     ) -> Response:
         sent = False
 
@@ -209,11 +209,11 @@
         return response
 
     async def _receive(
-        self, request: h11.Request, matches: Callable[[dict[str, str]], bool] | None
+        self, request: h11.Request, matches: Callable[[Response], bool] | None
     ) -> Response:
         while True:
             response, framed = await self._receive_one()
-            if matches is None or matches(response.fields):
+            if matches is None or matches(response):
                 break
             # A new parser reads the next response, beginning with the bytes already received after
             # this one. The request that it is given is not sent; its method decides how a response
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import trio
@@ -18,6 +19,7 @@
 from acaciasaddle.platform._wire import PATH_PREFIX
 
 if TYPE_CHECKING:
+    from acaciasaddle.http1 import Response
     from acaciasaddle.keyspace import KeyRange
     from acaciasaddle.keyspace import Owner
 
@@ -30,11 +32,25 @@
 log = get_logger("orders")
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _IdleConnection:
+    """An idle connection, and whether it has carried a release."""
+
+    conn: ClientConnection
+    after_release: bool
+
+
 class PlatformOrders(KeyOrders):
-    """Sends orders to upstreams, and keeps at most one idle connection to each address."""
+    """Sends orders to upstreams, and keeps at most one idle connection to each address.
+
+    Responses to orders do not say which order they answer, and an upstream may send a second copy
+    of one later. Keys must not be granted elsewhere because of such a copy: only the response to a
+    release has a handover, and a connection carries at most one release, as its last order but for
+    grants.
+    """
 
     def __init__(self) -> None:
-        self._idle: dict[str, ClientConnection] = {}
+        self._idle: dict[str, _IdleConnection] = {}
 
     async def grant(
         self,
@@ -59,7 +75,7 @@
 
     async def release(self, owner: Owner, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
         body: dict[str, object] = {"from": keys.first, "to": keys.last, "fence": fence}
-        fields = await self._send_order("release", owner, body, timeout_s, fresh=True)
+        fields = await self._send_order("release", owner, body, timeout_s, is_release=True)
         return fields.get(HANDOVER, "")
 
     async def reachable(self, address: str, *, timeout_s: float) -> bool:
@@ -72,9 +88,9 @@
         return True
 
     def close_connection(self, address: str) -> None:
-        conn = self._idle.pop(address, None)
-        if conn is not None:
-            conn.abort()
+        idle = self._idle.pop(address, None)
+        if idle is not None:
+            idle.conn.abort()
 
     async def _send_order(
         self,
@@ -83,14 +99,9 @@
         body: dict[str, object],
         timeout_s: float,
         *,
-        fresh: bool = False,
+        is_release: bool = False,
     ) -> dict[str, str]:
-        """Send an order and return the headers of its response.
-
-        Responses to orders do not say which order they answer. A ``fresh`` order has a connection
-        of its own, on which no second copy of an earlier response can arrive: keys must not be
-        granted elsewhere because an earlier order was answered twice.
-        """
+        """Send an order and return the headers of its response."""
         address = owner.address
         data = json.dumps(body).encode()
         headers = [
@@ -103,9 +114,13 @@
         step = f"orders.{name}"
         try:
             with trio.fail_after(timeout_s):
-                conn = await self._connection(address, fresh=fresh)
+                conn, after_release = await self._connection(address, is_release=is_release)
                 resp = await conn.exchange(
-                    method="POST", target=f"{PATH_PREFIX}/{name}", headers=headers, body=data
+                    method="POST",
+                    target=f"{PATH_PREFIX}/{name}",
+                    headers=headers,
+                    body=data,
+                    matches=_may_answer_release if is_release else None,
                 )
         except trio.TooSlowError as exc:
             outcome = Outcome.UNKNOWN if conn else Outcome.NOT_RUN
@@ -117,10 +132,10 @@
             if conn is not None and not conn.reusable:
                 conn.abort()
         if conn.reusable:
-            previous = self._idle.pop(address, None)
-            if previous is not None:
-                previous.abort()
-            self._idle[address] = conn
+            self.close_connection(address)
+            self._idle[address] = _IdleConnection(
+                conn=conn, after_release=after_release or is_release
+            )
         if resp.status == 409:
             raise FencedError(
                 "the upstream has seen a higher fencing token", step=step, peer=address
@@ -138,10 +153,18 @@
             )
         return resp.fields
 
-    async def _connection(self, address: str, *, fresh: bool) -> ClientConnection:
-        conn = self._idle.pop(address, None) if not fresh else None
-        if conn is not None:
-            if conn.is_open_and_idle():
-                return conn
-            conn.abort()
-        return await ClientConnection.connect(address=address, timeout_s=CONNECT_TIMEOUT_S)
+    async def _connection(self, address: str, *, is_release: bool) -> tuple[ClientConnection, bool]:
+        """Return a connection for an order, and whether it has carried a release."""
+        idle = self._idle.get(address)
+        if idle is not None and not (is_release and idle.after_release):
+            del self._idle[address]
+            if idle.conn.is_open_and_idle():
+                return idle.conn, idle.after_release
+            idle.conn.abort()
+        conn = await ClientConnection.connect(address=address, timeout_s=CONNECT_TIMEOUT_S)
+        return conn, False
+
+
+def _may_answer_release(resp: Response) -> bool:
+    """Return whether a response may be that to a release."""
+    return resp.status != 200 or HANDOVER in resp.fields
