Tell hosts of a grant at once, take a busy owner for full, keep uploads near

An owner with a long queue resets connections; two resets made a host refuse all its keys as silent for up to 4 s. Uploads of 60 kB went to any data centre that a sample of four named. Change: the coordinator tells of grants between writes, at most every 0.1 s; a failed send to an owner whose slots are all in use counts as full; half of the sample is local and bulky requests leave their data centre only for an upstream that is 1.5 times as fast. The coordinator logs the end of a move.

--- a/features/fleet_view/view.feature
+++ b/features/fleet_view/view.feature
@@ -63,3 +63,11 @@
   Scenario: a changed number of slots is a change for the hosts that are told of changes
     When "u2" registers with 5 slots
     Then the view has changed
+
+  Scenario: a grant counts only for the move that the owners show
+    When keys move with the fencing token 4, and the owners arrive with version 3
+    And a grant with the fencing token 4 is reported
+    And a grant with the fencing token 2 is reported
+    Then the granted moves are "4"
+    When the owners arrive with version 4
+    Then the granted moves are ""
--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -129,6 +129,20 @@
     When a lookup with key 77 is forwarded
     Then the caller gets 200 "done"
 
+  Scenario: a request is sent once its key was granted, although the owners still show it as moving
+    Given upstream "u1" of the keyed service answers "ok"
+    And all keys move to "u1", and are known to be granted after 0.1 s
+    When a lookup with key 77 is forwarded
+    Then the caller gets 200 "done"
+    And the caller waited between 0.05 and 0.3 s
+
+  Scenario: a busy owner that resets connections is not taken for silent
+    Given upstream "u1" of the keyed service answers "reset, reset, reset, reset, ok"
+    And "u1" owns all keys
+    And "u1" has 2 requests of other hosts
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+
   Scenario: a request for a key that has been moving for a long time is refused at once
     Given upstream "u1" of the keyed service answers "ok"
     And all keys have been moving to "u1" for a long time
--- a/features/steps/fleet_view_steps.py
+++ b/features/steps/fleet_view_steps.py
@@ -14,6 +14,9 @@
 from acaciasaddle.fleet import UpstreamEntry
 from acaciasaddle.fleet import UpstreamIncarnation
 from acaciasaddle.keyspace import KeyMap
+from acaciasaddle.keyspace import KeyRange
+from acaciasaddle.keyspace import Owner
+from acaciasaddle.keyspace import Span
 from acaciasaddle.routing import CallerLimits
 from acaciasaddle.routing import Configuration
 
@@ -145,3 +148,24 @@
     @then("the owners have version {version:d}")
     def owners_version(context: Any, version: int) -> None:
         assert context.view.owners["s"].version == version
+
+    @staticmethod
+    @when(
+        "keys move with the fencing token {fence:d}, and the owners arrive with version {version:d}"
+    )
+    def moving_owners(context: Any, fence: int, version: int) -> None:
+        owner = Owner(incarnation=_entry("u1").life, address="10.0.0.1:80")
+        span = Span(keys=KeyRange(0, 9), owner=owner, fence=fence, moving=True)
+        context.view.apply_owners("s", KeyMap(spans=(span,), fence=fence, version=version))
+
+    @staticmethod
+    @when("a grant with the fencing token {fence:d} is reported")
+    def grant(context: Any, fence: int) -> None:
+        context.view.note_granted("s", fence)
+
+    @staticmethod
+    @then('the granted moves are "{fences}"')
+    @then('the granted moves are ""')
+    def granted(context: Any, fences: str = "") -> None:
+        found = ", ".join(str(fence) for _, fence in sorted(context.view.granted))
+        assert found == fences, found
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -144,6 +144,12 @@
     def moving(context: Any, name: str, seconds: float) -> None:
         context.owner = (name, seconds)
 
+    @staticmethod
+    @given('all keys move to "{name}", and are known to be granted after {seconds:g} s')
+    def granted(context: Any, name: str, seconds: float) -> None:
+        context.owner = (name, 1.0)
+        context.granted_s = seconds
+
     @staticmethod
     @given('all keys have been moving to "{name}" for a long time')
     def moving_long(context: Any, name: str) -> None:
@@ -287,6 +293,10 @@
             return
 
         async def finish_move() -> None:
+            if hasattr(context, "granted_s"):
+                await trio.sleep(context.granted_s)
+                view.note_granted("keyed", 1)
+                return
             await trio.sleep(moving_s)
             view.apply_owners("keyed", keys(2, False))
 
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -32,10 +32,10 @@
 class FleetView:
     """The newest known state. On every change ``changed`` is set and replaced by a new event.
 
-    A new entry of a known upstream is a change only if its incarnation, its address or ``draining``
-    is different, or what it says of itself beside its warm-up. ``registry_serial`` increases with
-    every change of the upstreams. ``registry_revision`` is the latest revision of the registry that
-    a change was read at.
+    A new entry of a known upstream is a change if it differs in more than the warm-up.
+    ``registry_serial`` increases with every change of the upstreams, and ``registry_revision`` is
+    the latest revision of the registry that was read. ``granted`` has the service and the fencing
+    token of each move whose keys were granted although the owners still show them as moving.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -49,6 +49,7 @@
         self.configuration_read_at: float | None = None
         self.registry_serial = 0
         self.registry_revision = 0
+        self.granted: set[tuple[str, int]] = set()
         self._missing_since: dict[str, float] = {}
         self._moving_since: dict[tuple[str, int], float] = {}
         # Revision and time at which each upstream was last seen to be removed.
@@ -98,6 +99,8 @@
         if current is not None and owners.version <= current.version:
             return
         self.owners[service] = owners
+        moving = {(service, span.fence) for span in owners.spans if span.moving}
+        self.granted = {move for move in self.granted if move[0] != service or move in moving}
         now = self._clock.now()
         before = self._moving_since
         self._moving_since = {key: at for key, at in before.items() if key[0] != service}
@@ -107,6 +110,14 @@
                 self._moving_since[key] = before.get(key, now)
         self._notify()
 
+    def note_granted(self, service: str, fence: int) -> None:
+        """Note that the keys of a move were granted to the new owner, which serves them now."""
+        owners = self.owners.get(service)
+        if owners is None or not any(span.moving and span.fence == fence for span in owners.spans):
+            return
+        self.granted.add((service, fence))
+        self._notify()
+
     def moving_for_s(self, service: str, fence: int) -> float:
         """Return for how many seconds the move with a fencing token has been known."""
         now = self._clock.now()
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -247,6 +247,7 @@
                 busy=self._busy_at(entry.upstream_id),
                 slots=entry.slots,
             ),
+            bulky=pending.route.bulky,
         )
         if chosen is None:
             raise _refused("no upstream is left to try", NO_UPSTREAM_RETRY_S, "choose")
@@ -267,7 +268,7 @@
             changed = self._view.changed
             owners = self._view.owners.get(service)
             span = owners.find(key) if owners is not None else None
-            entry = self._active_owner(span)
+            entry = self._active_owner(service, span)
             if entry is not None:
                 silent_until = self._states.of(entry.upstream_id).silent_until(entry, now)
                 if silent_until is not None:
@@ -319,9 +320,9 @@
         reported = self._reported_busy.get(upstream_id, 0)
         return max(own, self.total_busy().get(upstream_id, 0) + own - reported)
 
-    def _active_owner(self, span: Span | None) -> UpstreamEntry | None:
+    def _active_owner(self, service: str, span: Span | None) -> UpstreamEntry | None:
         """Return the owner of a span if it accepts requests now, else ``None``."""
-        if span is None or span.moving:
+        if span is None or (span.moving and (service, span.fence) not in self._view.granted):
             return None
         entry = self._view.upstreams.get(span.owner.incarnation.upstream_id)
         if entry is None or entry.life != span.owner.incarnation or entry.draining:
@@ -351,7 +352,7 @@
                 target=pending.req.target,
                 headers=self._headers(pending, upstream, started),
                 body=pending.req.body,
-                matches=lambda fields: self._dialect.answers(fields, pending.metadata),
+                matches=lambda resp: self._dialect.answers(resp.fields, pending.metadata),
             )
             problem = self._problem_of(resp)
             if problem:
@@ -420,7 +421,12 @@
     ) -> None:
         """Pause if a request may be sent again after a failed send, or raise ``RefusedError``."""
         now = trio.current_time()
-        self._states.of(upstream.upstream_id).note_failure(now)
+        state = self._states.of(upstream.upstream_id)
+        if self._busy_at(upstream.upstream_id) >= upstream.slots:
+            # An upstream with a long queue resets connections; it is full, not silent.
+            state.note_full(now, state.response_s)
+        else:
+            state.note_failure(now)
         self._pool.discard(upstream.upstream_id)
         self._metrics.count(f"forward.send_failed.{exc.outcome.value}")
         log.warning(
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -32,6 +32,8 @@
 equal cost."""
 REMOTE_COST_FACTOR = 1.15
 """Cost factor of an upstream in another data centre; it must be this much better to be chosen."""
+BULKY_REMOTE_COST_FACTOR = 1.5
+"""The same for bulky requests, whose bodies take most of the bandwidth between data centres."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -105,11 +107,13 @@
         tried: Collection[str],
         now: float,
         expected_s: Callable[[UpstreamEntry], float],
+        bulky: bool = False,
     ) -> UpstreamEntry | None:
         """Return the best of a random sample of upstreams, or ``None`` if none is left.
 
         ``expected_s`` returns the expected response time of an upstream. Upstreams that are to be
-        avoided now are only considered if all others are ruled out.
+        avoided now are only considered if all others are ruled out. ``bulky`` requests leave this
+        data centre only for a clearly better upstream.
         """
         options = [entry for entry in upstreams if entry.upstream_id not in tried]
         options = [e for e in options if not self.of(e.upstream_id).is_replaced(e)]
@@ -117,13 +121,25 @@
         options = preferred or options
         if not options:
             return None
-        if len(options) > SAMPLE_SIZE:
-            options = self._random.sample(options, SAMPLE_SIZE)
-        return min(options, key=lambda entry: self._cost(entry, expected_s(entry)))
-
-    def _cost(self, entry: UpstreamEntry, expected_s: float) -> float:
+        remote_factor = BULKY_REMOTE_COST_FACTOR if bulky else REMOTE_COST_FACTOR
+        return min(
+            self._sample(options),
+            key=lambda entry: self._cost(entry, expected_s(entry), remote_factor),
+        )
+
+    def _sample(self, options: Sequence[UpstreamEntry]) -> Sequence[UpstreamEntry]:
+        """Return ``SAMPLE_SIZE`` options at random, half of them local if there are so many."""
+        if len(options) <= SAMPLE_SIZE:
+            return options
+        local = [entry for entry in options if entry.data_centre == self._data_centre]
+        sample = self._random.sample(local, min(SAMPLE_SIZE // 2, len(local)))
+        chosen = {entry.upstream_id for entry in sample}
+        rest = [entry for entry in options if entry.upstream_id not in chosen]
+        return sample + self._random.sample(rest, SAMPLE_SIZE - len(sample))
+
+    def _cost(self, entry: UpstreamEntry, expected_s: float, remote_factor: float) -> float:
         """Return the expected response time with jitter, raised for remote and cold upstreams."""
         cost = expected_s * (1.0 + COST_JITTER * self._random.random())
         if entry.data_centre != self._data_centre:
-            cost *= REMOTE_COST_FACTOR
+            cost *= remote_factor
         return cost * (2.0 if entry.cold_s > 0 else 1.0)
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -360,6 +360,7 @@
         handover = ""
         if span.previous is not None:
             handover = await self._leases.reclaim_keys(span, span.previous)
+        released_at = self._clock.now()
         while self._leases.is_current(move.service, span):
             try:
                 await self._leases.grant(span, handover=handover)
@@ -384,7 +385,19 @@
                 await trio.sleep(RELEASE_RETRY_S)
                 continue
             self._completed_moves.append(move)
-            self._metrics.timing("keyspace.move_time", (self._clock.now() - started) * 1000)
+            self._view.note_granted(move.service, span.fence)
+            milliseconds = (self._clock.now() - started) * 1000
+            self._metrics.timing("keyspace.move_time", milliseconds)
+            log.info(
+                "keys granted",
+                service=move.service,
+                first=span.keys.first,
+                last=span.keys.last,
+                fence=span.fence,
+                target=span.owner.incarnation.upstream_id,
+                release_ms=round((released_at - started) * 1000),
+                ms=round(milliseconds),
+            )
             return
 
 
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -45,6 +45,8 @@
 
 INTERVAL_S = 0.4
 """Time between two reports, and between two states if nothing changes."""
+MIN_STATE_PAUSE_S = 0.1
+"""Changes within this time are sent together: in a large fleet, moves end many times per second."""
 SILENCE_S = 0.9
 """A host closes its link if no state arrives for this long. Two states may be late. The coordinator
 closes a link if no report arrives for twice as long."""
@@ -72,6 +74,7 @@
     registry: RegistryCursor = field(default_factory=RegistryCursor)
     needs_configuration: bool = False
     peers: list[str] = field(default_factory=list)
+    granted: set[tuple[str, int]] = field(default_factory=set)
 
 
 class Links(Service):
@@ -112,6 +115,7 @@
         self._hosts = 0
         self._leading_since: float | None = None
         self._total_busy: dict[str, int] = {}
+        self._busy_to_send: dict[str, int] = {}
         self._address_by_host: dict[str, str] = {}
         self._peers: list[str] = []
 
@@ -199,6 +203,7 @@
             for name, count in busy.items():
                 total[name] = total.get(name, 0) + count
         self._total_busy = total
+        self._busy_to_send = self._select_busy(total)
 
     async def _serve_host(self, stream: trio.SocketStream) -> None:
         """Serve another host while this one is the coordinator; otherwise redirect it."""
@@ -268,7 +273,8 @@
                 changed = self._view.changed
                 with trio.fail_after(SILENCE_S):
                     await frames.send(self._state_for(sent))
-                with trio.move_on_after(INTERVAL_S):
+                await trio.sleep(MIN_STATE_PAUSE_S)
+                with trio.move_on_after(INTERVAL_S - MIN_STATE_PAUSE_S):
                     await changed.wait()
         except (PeerError, trio.TooSlowError) as exc:
             log.info("sending states to host failed", host_id=sent.host_id, reason=str(exc))
@@ -289,6 +295,8 @@
             history.update(owners)
             parts += history.since(sent.owners.get(service, 0))
             sent.owners[service] = owners.version
+        granted = self._view.granted - sent.granted
+        sent.granted = set(self._view.granted)
         needs_configuration, sent.needs_configuration = sent.needs_configuration, False
         peers = self._peers if sent.peers != self._peers else []
         sent.peers = self._peers
@@ -303,13 +311,14 @@
             configuration=cfg if needs_configuration else None,
             registry=registry,
             owners=parts,
-            busy=self._busy_to_send(),
+            busy=self._busy_to_send,
             peers=peers,
             registry_revision=self._view.registry_revision,
+            granted=sorted(granted),
         )
 
-    def _busy_to_send(self) -> dict[str, int]:
-        """Return the number of requests in progress at some of the upstreams.
+    def _select_busy(self, total: dict[str, int]) -> dict[str, int]:
+        """Return the number of requests in progress at those upstreams that hosts need to know of.
 
         These are the upstreams that are full, and those whose service has no keys.
         """
@@ -317,7 +326,7 @@
         keyed = {svc.name for svc in cfg.services.values() if svc.keyed} if cfg else set()
         return {
             name: count
-            for name, count in self._total_busy.items()
+            for name, count in total.items()
             if (entry := upstreams.get(name)) is not None
             and (count >= entry.slots or entry.service not in keyed)
         }
@@ -424,6 +433,8 @@
             known = self._view.owners.get(part.service)
             if known is None or known.version < part.version:
                 self._view.apply_owners(part.service, apply_part(part, known))
+        for service, fence in state.granted:
+            self._view.note_granted(service, fence)
 
     def _apply_registry(self, part: RegistryPart | None, *, age_s: float, revision: int) -> None:
         if part is None:
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -76,7 +76,8 @@
     upstream whose slots are all in use, and at each upstream of a service without keys. The
     configuration is sent only to a host that asks for it: in a large deployment it takes hundreds
     of kilobytes, and the platform has more bandwidth than the coordinator. ``registry_revision`` is
-    the revision of the registry as the coordinator last read it, 0 if it is not known.
+    the revision of the registry as the coordinator last read it, 0 if it is not known. ``granted``
+    has the service and the fencing token of moves whose keys were granted since the last state.
     """
 
     member: str
@@ -92,6 +93,7 @@
     busy: dict[str, int]
     peers: list[str]
     registry_revision: int = 0
+    granted: list[tuple[str, int]] = []
 
 
 class Redirect(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
