Do not renew the lease of a failing upstream, and probe it by HTTP

Cause: a frozen upstream (its kernel accepts connections, its process runs nothing) was taken for reachable each time its keys had been moved, got them back and lost them again; each renewal that it may have accepted put off the time at which its keys may go elsewhere, and renewals went on for 2.4 s. Change: while grants to an upstream fail, they ask for no more than it may hold already; after the first success a full lease follows. A lost upstream is used again when it responds to its health path. Ruled out: a lease of 2.5 s; keys would be without an owner after the loss of a coordinator.

--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -26,6 +26,20 @@
     And "u3" holds no key
     And keys were without an owner for at most 2 s
 
+  Scenario: renewals that a frozen upstream may have accepted do not prolong the wait for its keys
+    When after 1 s upstream "u3" freezes
+    And the key fleet runs for 14 s
+    Then no key had two owners
+    And all keys are owned
+    And keys were without an owner for at most 2.5 s
+
+  Scenario: an upstream that is frozen for a moment keeps its keys
+    When after 1 s upstream "u3" freezes
+    And after 1.5 s upstream "u3" answers again
+    And the key fleet runs for 8 s
+    Then no key had two owners
+    And keys were without an owner for at most 0 s
+
   Scenario: no key gets two owners if an upstream carries out orders but its responses are lost
     When after 1 s the responses of upstream "u3" are lost
     And after 2 s upstream "u3" drains
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -58,6 +58,18 @@
         upstream = context.key_fleet.upstream(name)
         context.script.append((pause, lambda: setattr(upstream, "silent", True)))
 
+    @staticmethod
+    @when('after {pause:g} s upstream "{name}" freezes')
+    def freeze(context: Any, pause: float, name: str) -> None:
+        upstream = context.key_fleet.upstream(name)
+        context.script.append((pause, lambda: setattr(upstream, "frozen", True)))
+
+    @staticmethod
+    @when('after {pause:g} s upstream "{name}" answers again')
+    def answers_again(context: Any, pause: float, name: str) -> None:
+        upstream = context.key_fleet.upstream(name)
+        context.script.append((pause, lambda: setattr(upstream, "frozen", False)))
+
     @staticmethod
     @when('after {pause:g} s the responses of upstream "{name}" are lost')
     def lose_responses(context: Any, pause: float, name: str) -> None:
--- a/features/steps/platform_orders_steps.py
+++ b/features/steps/platform_orders_steps.py
@@ -11,6 +11,7 @@
 from behave import then
 from behave import when
 from features.support.scripted_upstream import RESET
+from features.support.scripted_upstream import SILENT
 from features.support.scripted_upstream import ScriptedServer
 
 from acaciasaddle.errors import UpstreamError
@@ -39,7 +40,8 @@
     @given('an upstream that answers orders with "{answer}"')
     def upstream(context: Any, answer: str) -> None:
         response = f"HTTP/1.1 {answer} X\r\nContent-Length: 0\r\n\r\n"
-        context.server = ScriptedServer(responses=[RESET if answer == RESET else response])
+        scripted = answer if answer in (RESET, SILENT) else response
+        context.server = ScriptedServer(responses=[scripted])
 
     @staticmethod
     @when("a grant is sent")
@@ -56,6 +58,24 @@
 
         trio.run(main)
 
+    @staticmethod
+    @when("the upstream is probed")
+    def probe(context: Any) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(context.server.run)
+                context.responds = await PlatformOrders().responds(
+                    context.server.address, health_path="/health", timeout_s=0.3
+                )
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    @staticmethod
+    @then('it "{result}"')
+    def probed(context: Any, result: str) -> None:
+        assert context.responds == (result == "responds"), context.responds
+
     @staticmethod
     @then('the order ends as "{outcome}"')
     def ends(context: Any, outcome: str) -> None:
--- a/features/support/key_fleet.py
+++ b/features/support/key_fleet.py
@@ -62,10 +62,11 @@
 class KeyUpstream:
     """An upstream whose clock runs 2% slow.
 
-    While it is ``silent``, it carries out no orders but holds its keys until their leases end. Once
-    it is no longer ``alive``, it holds none. ``replaced`` is true once another upstream has its
-    address. If ``loses_responses`` is true, it carries out orders but its responses are lost.
-    ``work_s`` is the time for which a release waits for work in progress.
+    While it is ``silent`` or ``frozen``, it carries out no orders but holds its keys until their
+    leases end. A silent one accepts no connections; whether a frozen one has carried out an order
+    is not known. Once it is no longer ``alive``, it holds none. ``replaced`` is true once another
+    upstream has its address. If ``loses_responses`` is true, it carries out orders but its
+    responses are lost. ``work_s`` is the time for which a release waits for work in progress.
     """
 
     entry: UpstreamEntry
@@ -73,6 +74,7 @@
     held_until: dict[int, float] = field(default_factory=dict)
     alive: bool = True
     silent: bool = False
+    frozen: bool = False
     replaced: bool = False
     loses_responses: bool = False
     work_s: float = 0.0
@@ -118,9 +120,9 @@
         await self._respond(upstream, timeout_s)
         return f"handover-{owner.incarnation.upstream_id}"
 
-    async def reachable(self, address: str, *, timeout_s: float) -> bool:
+    async def responds(self, address: str, *, health_path: str, timeout_s: float) -> bool:
         upstream = self._fleet.upstream_at(address)
-        return upstream.alive and not upstream.silent and not self.cut_off
+        return upstream.alive and not (upstream.silent or upstream.frozen or self.cut_off)
 
     def close_connection(self, address: str) -> None:
         pass
@@ -135,6 +137,9 @@
             raise UpstreamUnreachableError(
                 "the upstream is unreachable", outcome=Outcome.NOT_RUN, step="order"
             )
+        if upstream.frozen:
+            await trio.sleep(timeout_s)
+            raise UpstreamError("no response arrived", outcome=Outcome.UNKNOWN, step="order")
         return upstream
 
     async def _respond(self, upstream: KeyUpstream, timeout_s: float) -> None:
--- a/features/users_platform/orders.feature
+++ b/features/users_platform/orders.feature
@@ -24,3 +24,15 @@
     Given an upstream that answers a release twice, the second time 0.05 s later
     When a grant, a release and a release are sent
     Then the handovers are "h1, h2"
+
+  Scenario Outline: an upstream responds only if it answers a health check
+    Given an upstream that answers orders with "<answer>"
+    When the upstream is probed
+    Then it "<result>"
+
+    Examples:
+      | answer | result           |
+      | 200    | responds         |
+      | 503    | responds         |
+      | silent | does not respond |
+      | reset  | does not respond |
--- a/src/acaciasaddle/keyspace/_grants.py
+++ b/src/acaciasaddle/keyspace/_grants.py
@@ -164,6 +164,8 @@
     async def grant(self, span: Span, *, handover: str = "") -> None:
         """Grant or renew the keys of a span.
 
+        While grants to the upstream fail, the lease is not extended: if the upstream is lost, its
+        keys can be granted elsewhere only when all leases that it may have accepted have ended.
         Raises ``AuthorityLostError`` if this host's role may have lapsed, and ``UpstreamError`` if
         the order failed.
         """
@@ -175,6 +177,10 @@
         store_failing = self._role.since_write_s > STORE_FAILING_AFTER_S
         lease_s = self._max_lease_s if store_failing or self.stopping else KEY_LEASE_S
         state = self.owner_state(span.owner)
+        if state.failing_since is not None:
+            lease_s = state.lease_without_extension(
+                now=now, timeout_s=ORDER_TIMEOUT_S, longest_s=lease_s
+            )
         number = state.record_grant(now=now, timeout_s=ORDER_TIMEOUT_S, lease_s=lease_s)
         carried_out = True
         try:
@@ -225,7 +231,11 @@
             for service, span in spans:
                 if state.lost or not self.is_current(service, span):
                     continue
+                was_failing = state.failing_since is not None
                 await self.grant(span)
+                if was_failing:
+                    # The upstream is back; the first grant did not extend its lease.
+                    await self.grant(span)
         except AuthorityLostError as exc:
             log.info(
                 "lease renewal postponed", reason=str(exc), upstream=owner.incarnation.upstream_id
@@ -249,7 +259,7 @@
     async def probe_lost_upstreams(self) -> None:
         """Periodically probe the registered upstreams that are lost.
 
-        One that accepts a connection is no longer lost.
+        One that responds to a health check is no longer lost.
         """
         while True:
             await trio.sleep(PROBE_INTERVAL_S)
@@ -257,8 +267,12 @@
             for owner, state in list(self._owner_states.items()):
                 if state.ended or not state.lost or owner.incarnation not in registered:
                     continue
-                if await self._orders.reachable(owner.address, timeout_s=ORDER_TIMEOUT_S):
-                    log.info("upstream reachable again", upstream=owner.incarnation.upstream_id)
+                cfg = self._view.configuration
+                service = cfg.services.get(registered[owner.incarnation].service) if cfg else None
+                if service is not None and await self._orders.responds(
+                    owner.address, health_path=service.health_path, timeout_s=ORDER_TIMEOUT_S
+                ):
+                    log.info("upstream responds again", upstream=owner.incarnation.upstream_id)
                     state.record_success()
 
     def is_cut_off(self) -> bool:
--- a/src/acaciasaddle/keyspace/_leases.py
+++ b/src/acaciasaddle/keyspace/_leases.py
@@ -12,6 +12,8 @@
 TIMER_MARGIN_S = 0.15
 """Allows for the rounding of timers on both sides."""
 
+MIN_LEASE_S = 0.1
+
 MAX_CONCURRENT_RELEASES = 24
 """Concurrent releases at one upstream, each on its own connection. Upstreams of the smallest
 deployment accept 130 connections from all hosts together."""
@@ -60,6 +62,11 @@
         self.grants_in_progress[self.grant_count] = lease_end(now + timeout_s, lease_s)
         return self.grant_count
 
+    def lease_without_extension(self, *, now: float, timeout_s: float, longest_s: float) -> float:
+        """Return the longest lease, up to ``longest_s``, that leaves ``held_until`` as it is."""
+        remaining_s = self.held_until - lease_end(now + timeout_s, 0.0)
+        return min(longest_s, max(MIN_LEASE_S, remaining_s / CLOCK_DRIFT_FACTOR))
+
     def settle_grant(self, number: int, *, carried_out: bool) -> None:
         """Record that a grant has been answered or given up.
 
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -231,8 +231,11 @@
         """
 
     @abstractmethod
-    async def reachable(self, address: str, *, timeout_s: float) -> bool:
-        """Return whether an upstream accepts a connection."""
+    async def responds(self, address: str, *, health_path: str, timeout_s: float) -> bool:
+        """Return whether an upstream responds to a health check, with whatever status.
+
+        A frozen process still accepts connections.
+        """
 
     @abstractmethod
     def close_connection(self, address: str) -> None:
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -78,13 +78,20 @@
         fields = await self._send_order("release", owner, body, timeout_s, is_release=True)
         return fields.get(HANDOVER, "")
 
-    async def reachable(self, address: str, *, timeout_s: float) -> bool:
+    async def responds(self, address: str, *, health_path: str, timeout_s: float) -> bool:
+        conn: ClientConnection | None = None
         try:
-            conn = await ClientConnection.connect(address=address, timeout_s=timeout_s)
-        except UpstreamError as exc:
-            log.debug("upstream not reachable", address=address, reason=str(exc))
+            with trio.fail_after(timeout_s):
+                conn = await ClientConnection.connect(address=address, timeout_s=timeout_s)
+                await conn.exchange(
+                    method="GET", target=health_path, headers=[(b"Host", address.encode())]
+                )
+        except (UpstreamError, trio.TooSlowError) as exc:
+            log.debug("upstream does not respond", address=address, reason=str(exc))
             return False
-        conn.abort()
+        finally:
+            if conn is not None:
+                conn.abort()
         return True
 
     def close_connection(self, address: str) -> None:
