Open a new connection for an order after an upstream closed the kept one

Cause: found by reading: UpstreamControl kept a connection whose response said 'Connection: close'; the next order raised httpcore.ConnectionNotAvailable, which nothing caught, and ended the entry host. Change: a connection that is not available is closed and replaced.

--- a/src/acaciasaddle/ownership/_control.py
+++ b/src/acaciasaddle/ownership/_control.py
@@ -129,6 +129,9 @@
     async def _request(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         try:
             with trio.fail_after(self._timeout):
+                if self._conn is not None and not self._conn.is_available():
+                    # The upstream asked to close the connection after its last response.
+                    await self.close()
                 conn = self._conn or await self._connect()
                 response = await conn.request(
                     method,
