Mend two tests whose own causes were known: ports and the half-granting defect

Cause: emulator/ports.feature needed the UDP ports 12345 and 12346 free, which any other test run may have reserved; the soak's defect granted a span that holds all keys whole, so with a late registry no key stayed without a grant. Change: the other process reserves a port of its own choice, which is then the first candidate; the defect cuts every grant to the lower half of the keys. Both check as much as before.

--- a/features/emulator/ports.feature
+++ b/features/emulator/ports.feature
@@ -3,6 +3,6 @@
   of these processes then ends with "Address already in use".
 
   Scenario: a port that another test run has reserved is not returned
-    Given another test run has reserved port 12345 for a process that has not started yet
-    When a free port is requested and 12345 is the first candidate
+    Given another test run has reserved a port for a process that has not started yet
+    When a free port is requested and that port is the first candidate
     Then another port is returned
--- a/features/steps/emulator_ports_steps.py
+++ b/features/steps/emulator_ports_steps.py
@@ -15,35 +15,36 @@
 
 RESERVE_PORT_SCRIPT = """
 import sys
-from unittest import mock
 from acaciasaddle.emulator import _fleet
-with mock.patch.object(_fleet.random, "randrange", side_effect=[{port}]):
-    print(_fleet.reserve_port(), flush=True)
+print(_fleet.reserve_port(), flush=True)
 sys.stdin.read()
 """
+CANDIDATES = 50
+"""Candidates after the first one. Any test run on the machine may have reserved some of them."""
 
 
 class PortSteps:
     """Guards against a port that two test runs use at the same time."""
 
     @staticmethod
-    @given("another test run has reserved port {port:d} for a process that has not started yet")
-    def reserved(context: Any, port: int) -> None:
+    @given("another test run has reserved a port for a process that has not started yet")
+    def reserved(context: Any) -> None:
         process = subprocess.Popen(
-            [sys.executable, "-c", RESERVE_PORT_SCRIPT.format(port=port)],
+            [sys.executable, "-c", RESERVE_PORT_SCRIPT],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
         context.add_cleanup(process.communicate)
         assert process.stdout is not None
-        assert int(process.stdout.readline()) == port
+        context.first_port = int(process.stdout.readline())
 
     @staticmethod
-    @when("a free port is requested and {port:d} is the first candidate")
-    def requested(context: Any, port: int) -> None:
-        with mock.patch.object(_fleet.random, "randrange", side_effect=[port, port + 1]):
+    @when("a free port is requested and that port is the first candidate")
+    def requested(context: Any) -> None:
+        first = context.first_port
+        candidates = [first, *range(first + 1, first + 1 + CANDIDATES)]
+        with mock.patch.object(_fleet.random, "randrange", side_effect=candidates):
             context.returned_port = _fleet.reserve_port()
-        context.first_port = port
 
     @staticmethod
     @then("another port is returned")
--- a/features/support/defective_node.py
+++ b/features/support/defective_node.py
@@ -17,6 +17,8 @@
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.forward import _forwarder
 from acaciasaddle.kernel import Kernel
+from acaciasaddle.keyspace import KEY_COUNT
+from acaciasaddle.keyspace import KeyRange
 from acaciasaddle.keyspace._grants import LeaseManager
 from acaciasaddle.keyspace._role import CoordinatorRole
 from acaciasaddle.node import run_node
@@ -54,13 +56,13 @@
 
 
 def _grant_half() -> None:
-    # Spans that begin in the upper half are not granted. A span that begins in the lower half is
-    # granted whole, even if it holds all keys.
     grant = LeaseManager.grant
 
     async def grant_half(self: Any, span: Any, *, handover: str = "") -> None:
-        if span.keys.first < 32_768:
-            await grant(self, span, handover=handover)
+        # No key of the upper half is granted, however the keys are divided into spans.
+        keys = KeyRange(span.keys.first, min(span.keys.last, KEY_COUNT // 2 - 1))
+        if keys.size > 0:
+            await grant(self, replace(span, keys=keys), handover=handover)
 
     LeaseManager.grant = grant_half
 
