Test the operators' cases of broken-off answers and of two hosts sending orders

Cause: the operators ask whether an answer that breaks off can reach a caller as complete, and whether two processes send orders around a hand-over. Change: a chunked body without its end, and a body without length whose connection is reset, are never passed on as complete; after a stop, a loss of the store or a kill of the coordinator, its last order comes before the first one of the next. Run: keyspace/coordinator.feature and forward/forwarder.feature pass.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -20,6 +20,8 @@
       | reset       | ok     | 200    | done | 2        |
       | close       | ok     | 200    | done | 2        |
       | truncated   | ok     | 200    | done | 2        |
+      | chunked cut | ok     | 200    | done | 2        |
+      | unframed reset | ok  | 200    | done | 2        |
       | unsigned    | ok     | 200    | done | 2        |
       | garbage     | ok     | 200    | done | 2        |
       | two lengths | ok     | 200    | done | 2        |
@@ -41,6 +43,8 @@
       | reset     | 502    |      | 1        |
       | close     | 502    |      | 1        |
       | truncated | 502    |      | 1        |
+      | chunked cut | 502  |      | 1        |
+      | unframed reset | 502 |    | 1        |
       | unsigned  | 502    |      | 1        |
       | garbage   | 502    |      | 1        |
       | bare 503  | 502    |      | 1        |
--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -150,3 +150,15 @@
     Then another host has the role
     And no key had two owners
     And keys were without an owner for at most 0 s
+
+  Scenario Outline: around a hand-over of the role only one host sends orders at a time
+    When after 1 s <event>
+    And the key fleet runs for 8 s
+    Then another host has the role
+    And the first coordinator sent no order after another host had sent one
+
+    Examples:
+      | event                                  |
+      | the coordinator is stopped gracefully  |
+      | the store is down for the coordinator  |
+      | the coordinator is killed              |
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -206,6 +206,15 @@
     def one_owner(context: Any) -> None:
         assert not context.key_fleet.violations, context.key_fleet.violations[:5]
 
+    @staticmethod
+    @then("the first coordinator sent no order after another host had sent one")
+    def one_sender(context: Any) -> None:
+        hosts = {host.name: host.orders.sent_at for host in context.key_fleet.hosts}
+        first = hosts.pop(context.first_coordinator)
+        others = [at for sent_at in hosts.values() for at in sent_at]
+        assert first and others, hosts
+        assert max(first) < min(others), (max(first), min(others))
+
     @staticmethod
     @then("all keys are owned")
     def all_owned(context: Any) -> None:
--- a/features/support/key_fleet.py
+++ b/features/support/key_fleet.py
@@ -84,11 +84,15 @@
 
 
 class UpstreamOrders(KeyOrders):
-    """Orders of one host to the upstreams. If ``cut_off`` is true, it reaches none of them."""
+    """Orders of one host to the upstreams. If ``cut_off`` is true, it reaches none of them.
+
+    ``sent_at`` has the time of each grant and release.
+    """
 
     def __init__(self, fleet: KeyFleet) -> None:
         self._fleet = fleet
         self.cut_off = False
+        self.sent_at: list[float] = []
 
     async def grant(
         self,
@@ -128,6 +132,7 @@
         pass
 
     async def _reach(self, owner: Owner, timeout_s: float) -> KeyUpstream:
+        self.sent_at.append(trio.current_time())
         await trio.sleep(RTT_S)
         upstream = self._fleet.upstream_at(owner.address)
         if upstream.replaced:
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -21,7 +21,8 @@
 
     The last response is repeated. ``{id}`` in a response is replaced by the request's id. The
     responses ``reset``, ``silent`` and ``close`` reset the connection, send nothing, or close the
-    connection. After a response that begins with ``+`` the connection stays open. The part of a
+    connection. After a response that begins with ``+`` the connection stays open, after one that
+    begins with ``!`` it is reset. The part of a
     response after ``ENDLESS`` is sent again and again until the client closes the connection.
     """
 
@@ -70,17 +71,25 @@
         if response == CLOSE:
             return False
         if response == RESET:
-            linger = struct.pack("ii", 1, 0)
-            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self._reset_on_close(stream)
             return False
         headers = {name.decode(): value.decode() for name, value in request.headers}
-        text = response.lstrip("+").replace("{id}", headers.get("request-id", ""))
+        text = response.lstrip("+!").replace("{id}", headers.get("request-id", ""))
         text, _, repeated = text.partition(ENDLESS)
         await stream.send_all(text.replace("\\r\\n", "\r\n").encode())
         while repeated:
             await stream.send_all(repeated.encode() * (REPEATED_BYTES // len(repeated) + 1))
+        if response.startswith("!"):
+            # Pause, so that the reset does not discard what was sent before.
+            await trio.sleep(0.05)
+            self._reset_on_close(stream)
         return response.startswith("+")
 
+    @staticmethod
+    def _reset_on_close(stream: trio.SocketStream) -> None:
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
 
 def ok(body: str = "done", *, extra: str = "", request_id: str = "{id}") -> str:
     """Return a signed response after which the connection stays open."""
@@ -109,6 +118,10 @@
     "truncated": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.3\r\n"
     "Content-Length: 9\r\n\r\ndone",
     "unframed": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.4\r\n\r\ndone",
+    "chunked cut": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.8\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
+    "unframed reset": "!HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.9\r\n"
+    "\r\ndo",
     "garbage": "no answer at all\r\n\r\n",
     "stale first": ok("other", request_id="r-0") + ok().lstrip("+"),
     "surplus after": ok() + ok("other").lstrip("+"),
