--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -69,7 +69,7 @@
   Scenario: a lookup that may have run is not reported as not run
     Given upstream "u1" of the open service answers "reset"
     And an unreachable upstream "u2" of the open service
-    When a lookup is forwarded
+    When a lookup with 20 s left is forwarded
     Then the caller gets 502 ""
 
   Scenario: a request is sent to no more upstreams than the route allows
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -68,7 +68,8 @@
     routes=(
         _route("lookup", "open", Repeat.IDEMPOTENT),
         _route("booking", "open", Repeat.ONCE),
-        _route("patient", "open", Repeat.ONCE, timeout_s=20.0),
+        _route("patient-lookup", "open", Repeat.IDEMPOTENT, timeout_s=20.0),
+        _route("patient-booking", "open", Repeat.ONCE, timeout_s=20.0),
         _route("keyed", "keyed", Repeat.IDEMPOTENT),
     ),
     services={name: _service(name) for name in ("open", "keyed")},
@@ -196,10 +197,10 @@
         ForwarderRequestSteps._forward(context, ["/booking/1"])
 
     @staticmethod
-    @when("a booking with {seconds:d} s left is forwarded")
-    def patient_booking(context: Any, seconds: int) -> None:
+    @when("a {kind} with {seconds:d} s left is forwarded")
+    def patient_request(context: Any, kind: str, seconds: int) -> None:
         context.deadline_ms = seconds * 1000
-        ForwarderRequestSteps._forward(context, ["/patient/1"])
+        ForwarderRequestSteps._forward(context, [f"/patient-{kind}/1"])
 
     @staticmethod
     @when("a lookup with key {key:d} is forwarded")
