Take an unreachable owner for silent even if it seems busy

Cause: found when reading the diff. Since a failed send to a busy owner counts as full, an owner that went dark with requests in progress never became silent: each request for its keys tried to connect for 0.3 s. Change: only a connection that was made and then failed counts as full. 64 KiB of each response, in place of 256, are received beside the common limit: 500 endless bodies stay below 32 MB.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -147,6 +147,14 @@
     When two lookups are forwarded one after the other
     Then the caller gets 200 "done"
 
+  Scenario: an unreachable owner is silent, however many requests other hosts have there
+    Given an unreachable upstream "u1" of the keyed service
+    And "u1" owns all keys
+    And "u1" has 2 requests of other hosts
+    When two lookups are forwarded one after the other
+    Then the caller gets 503 ""
+    And the caller waited between 0 and 0.3 s
+
   Scenario: a request for a key that has been moving for a long time is refused at once
     Given upstream "u1" of the keyed service answers "ok"
     And all keys have been moving to "u1" for a long time
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -12,6 +12,7 @@
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.errors import UpstreamError
+from acaciasaddle.errors import UpstreamUnreachableError
 from acaciasaddle.forward._admission import RecentArrivals
 from acaciasaddle.forward._admission import SlotTimes
 from acaciasaddle.forward._admission import expected_response_s
@@ -422,7 +423,8 @@
         """Pause if a request may be sent again after a failed send, or raise ``RefusedError``."""
         now = trio.current_time()
         state = self._states.of(upstream.upstream_id)
-        if self._busy_at(upstream.upstream_id) >= upstream.slots:
+        unreachable = isinstance(exc, UpstreamUnreachableError)
+        if not unreachable and self._busy_at(upstream.upstream_id) >= upstream.slots:
             # An upstream with a long queue resets connections; it is full, not silent.
             state.note_full(now, state.response_s)
         else:
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -28,7 +28,7 @@
 MAX_RESPONSE_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Responses are held in memory until they are complete; hosts have about 200 MB."""
-UNCOUNTED_BYTES = 256 * 1024
+UNCOUNTED_BYTES = 64 * 1024
 """Bytes of each response that do not count towards ``MAX_BUFFERED_BYTES``, so that common responses
 are still received while a few upstreams send bodies without end."""
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
