--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -27,6 +27,8 @@
 
 def _site_section(site: str, entries: list[dict[str, Any]]) -> list[str]:
     lines = ["", f"## {site}"]
+    # Small twins cannot be compared with the days themselves, nor an estimate with a score.
+    entries = [entry for entry in entries if not {"--small", "--quick"} & set(entry["argv"])]
     scores = [entry for entry in entries if entry["cmd"] == "score" and entry["days"]]
     if scores:
         lines += _score_table(scores[-1])
