Explain a request without moves of other services

Cause: found by reading: the lines of a move were found by its fencing token alone, and each service has its own tokens, so the move of another service could be shown as the cause. Change: lines that name another service are left out. The log of the test has such a line, so it has four.

--- a/features/explain/logs.feature
+++ b/features/explain/logs.feature
@@ -24,10 +24,11 @@
     Then the explanation has the reason ""
     And the explanation shows "rejected by upstream" with "status=421"
     And the explanation shows "keys move" with "target=i-1812cda470"
+    And the explanation does not show "service=t"
 
   Scenario: a request that is not in the logs is reported as an error
     When request "none" is explained from the logs "late-node-1"
-    Then the explanation fails with "no line of request 'none' in 3 lines"
+    Then the explanation fails with "no line of request 'none' in 4 lines"
 
   Scenario Outline: failures of a benchmark day are explained (docs/incidents/bands-inc-879f.md)
     When request "<request>" is explained from the logs "<log>"
--- a/src/acaciasaddle/explain/_explanation.py
+++ b/src/acaciasaddle/explain/_explanation.py
@@ -84,8 +84,8 @@
 
     Moves are ordered by their fencing tokens, since the clocks of hosts may differ. A move is
     ignored if its ``version`` is higher than ``owners``, the version of the owners that the
-    request's host knew. The lines are found by the fencing token alone, so lines about a move of
-    another service may be among them.
+    request's host knew. Fencing tokens are unique within a service: lines that name another service
+    are left out, but those that name none may be about another one's move.
     """
     key, service = fields.get("key"), fields.get("service")
     if key is None:
@@ -104,5 +104,7 @@
     return tuple(
         line
         for line in lines
-        if line.fields.get("fence") == fence and line.event.startswith("[coordinator]")
+        if line.fields.get("fence") == fence
+        and line.fields.get("service", service) == service
+        and line.event.startswith("[coordinator]")
     )
