Rename two sets of upstreams and say what a wait is for

Change: sampled_ids and selected; a reason for WAITING_CONNECTION_S. No behaviour changes. Run: black, ruff, mypy; forward/upstreams.feature and callers pass.

--- a/features/steps/forward_upstreams_steps.py
+++ b/features/steps/forward_upstreams_steps.py
@@ -46,7 +46,7 @@
     @when("{count:d} {kind} requests choose an upstream")
     def choose(context: Any, count: int, kind: str) -> None:
         states = UpstreamStates(data_centre=LOCAL)
-        context.chosen = Counter()
+        context.selected = Counter()
         for _ in range(count):
             entry = states.choose(
                 context.entries,
@@ -58,24 +58,24 @@
                 bulky=kind == "bulky",
             )
             assert entry is not None
-            context.chosen[entry] += 1
+            context.selected[entry] += 1
 
     @staticmethod
     def _local_percent(context: Any) -> float:
-        local = sum(n for entry, n in context.chosen.items() if entry.data_centre == LOCAL)
-        return 100 * local / context.chosen.total()
+        local = sum(n for entry, n in context.selected.items() if entry.data_centre == LOCAL)
+        return 100 * local / context.selected.total()
 
     @staticmethod
     @then("at least {percent:d}% of them stay in their data centre")
     def stay(context: Any, percent: int) -> None:
-        assert ChoiceSteps._local_percent(context) >= percent, context.chosen
+        assert ChoiceSteps._local_percent(context) >= percent, context.selected
 
     @staticmethod
     @then("at most {percent:d}% of them stay in their data centre")
     def leave(context: Any, percent: int) -> None:
-        assert ChoiceSteps._local_percent(context) <= percent, context.chosen
+        assert ChoiceSteps._local_percent(context) <= percent, context.selected
 
     @staticmethod
     @then("no upstream gets more than {count:d} of them")
     def spread(context: Any, count: int) -> None:
-        assert max(context.chosen.values()) <= count, context.chosen
+        assert max(context.selected.values()) <= count, context.selected
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -24,6 +24,7 @@
 BACKLOG = 512
 ACCEPT_RETRY_S = 0.05
 WAITING_CONNECTION_S = 0.01
+"""A server that stops takes its queue of new connections for empty if none comes for this long."""
 ACCEPT_REST_S = 0.1
 """Longest time for which a server that stops accepts the connections that wait for it."""
 LAST_REQUEST_S = 0.2
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -133,8 +133,8 @@
             return options
         local = [entry for entry in options if entry.data_centre == self._data_centre]
         sample = self._random.sample(local, min(SAMPLE_SIZE // 2, len(local)))
-        chosen = {entry.upstream_id for entry in sample}
-        rest = [entry for entry in options if entry.upstream_id not in chosen]
+        sampled_ids = {entry.upstream_id for entry in sample}
+        rest = [entry for entry in options if entry.upstream_id not in sampled_ids]
         return sample + self._random.sample(rest, SAMPLE_SIZE - len(sample))
 
     def _cost(self, entry: UpstreamEntry, expected_s: float, remote_factor: float) -> float:
