--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,17 +21,14 @@
 from standins.upstream import Upstream
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ENDPOINTS = 16
-LEAVING = 6
-LEAVE_EVERY_S = 11.0
+ENDPOINTS = 20
+LEAVING = 8
+LEAVE_EVERY_S = 8.0
 REQUESTS_PER_S = 60
 SETTLE_S = 4.0
 LIMIT_S = 108.0
-RENEWAL_GAP_S = 1.6
-"""Time from a renewal without an answer to the next one."""
 ANSWER_HELD_UP_S = 0.6
 """A packet that is lost twice: 0.2 s until the first repeat, 0.4 s until the second."""
-REPORT_LEAD_S = 0.1
 APPLIED_LATE_S = 8.0
 RELEASES_UNANSWERED = 3
 HELD_BY_TWO_S = 0.5
@@ -40,7 +37,7 @@
 class LateUpstream(Upstream):
     """Once it is to leave, leaves a renewal unanswered, and the releases of the keys of the next.
 
-    These orders are fewer than the share ``x`` of all orders that it gets meanwhile.
+    These are far fewer than the share ``x`` of the orders to all endpoints meanwhile.
     """
 
     unanswered_grants = 0
@@ -50,13 +47,12 @@
     unanswered = 0
 
     async def leave(self) -> None:
-        """Report that this endpoint is draining, around its next renewals."""
+        """Report that this endpoint is draining, while the answer to a renewal is held up."""
         if TROUBLE:
             self.unanswered_grants, self.held_up_answers = 1, 1
             self.orders = self.unanswered = 0
-            while self.unanswered_grants:
+            while self.held_up_answers:
                 await asyncio.sleep(0.01)
-            await asyncio.sleep(RENEWAL_GAP_S - REPORT_LEAD_S)
         self.state = "draining"
         self.report_once()
         self.record.add("draining", endpoint=self.name)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
-"""An entry of another writer whose bytes cannot be read ends every process, again and again.
+"""An entry of another writer ends the process that coordinates the keys, again and again.
 
-The row lies in the store's table of endpoints beside the entries of sound endpoints. Without the
-disruption it is not written.
+The entry names a service that no manifest names, and an integer that needs more than 64 bits.
+Without the disruption it is not written.
 """
 
 from __future__ import annotations
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -20,8 +20,6 @@
 DEPS = ROOT / "target" / "deps"
 START_LIMIT_S = 20.0
 RESTART_S = 0.5
-MEMORY_LIMIT_BYTES = 300 * 1024 * 1024
-"""``memoryMb`` of the site: a process that exceeds it is killed."""
 
 
 def free_port() -> int:
@@ -116,14 +114,6 @@
             await asyncio.sleep(0.1)
         return False
 
-    def memory_bytes(self) -> int:
-        """Return the resident memory of the process, 0 if it does not run."""
-        try:
-            text = Path(f"/proc/{self.process.pid}/statm").read_text()
-        except (OSError, AttributeError):
-            return 0
-        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
