Report input that is nested too deeply as malformed

Callers saw: while a row of 4 KB with deeply nested JSON stood in the table of upstreams, every process ended within a second and again after each start; requests that were running got no answer.

Cause: msgspec and json raise RecursionError for such input, which is neither a DecodeError nor a ValueError, so it left the reader of the registry and ended the process. Ruled out: a failure of the store client or of the view; the traceback in the node's log ends in decode_entry.

Change: DECODING_ERRORS names all that the decoders raise. It is caught for entries, configurations, rows, responses of the store, messages between hosts, answers to orders, the operator API, settings and logs. A row of the router's own tables that is no object is reported as malformed, too.

--- a/features/fuzz/parsers.feature
+++ b/features/fuzz/parsers.feature
@@ -11,6 +11,7 @@
       | the dialect            |
       | the entry decoder      |
       | the route decoder      |
+      | the row decoder        |
       | the key map            |
       | the link decoder       |
       | the response reader    |
@@ -27,6 +28,11 @@
       | the response reader | a keep-alive timeout of ²            |
       | the response reader | a keep-alive timeout of 400 digits   |
       | the key map         | a span of an owner that is not there |
+      | the entry decoder   | a field that is nested 4000 deep     |
+      | the route decoder   | a field that is nested 4000 deep     |
+      | the row decoder     | a compressed list of 4000 levels     |
+      | the row decoder     | a row that is not an object          |
+      | the link decoder    | a message of 4000 levels             |
 
   Scenario: a caller that resets its connection while a request is read ends only that connection
     Given a listener on loopback
--- a/features/steps/fuzz_parsers_steps.py
+++ b/features/steps/fuzz_parsers_steps.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import socket
 import struct
+import zlib
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -33,6 +35,8 @@
 from acaciasaddle.platform import PlatformDialect
 from acaciasaddle.platform._decode import decode_configuration
 from acaciasaddle.platform._decode import decode_entry
+from acaciasaddle.platform._store import _row
+from acaciasaddle.platform._store import _StoredRow
 from acaciasaddle.routing import CallerLimits
 
 if TYPE_CHECKING:
@@ -93,6 +97,14 @@
         return
 
 
+def _read_row(data: bytes) -> None:
+    value = base64.b64encode(data).decode()
+    try:
+        _row("t", _StoredRow(key="k", ver=1, value=value))
+    except PlatformError:
+        return
+
+
 def _read_key_map(value: Any) -> None:
     try:
         KeyMap.from_json(value, version=1)
@@ -159,6 +171,10 @@
         _read_configuration,
         st.binary() | JSON_VALUES.map(lambda value: json.dumps(value).encode()),
     ),
+    "the row decoder": (
+        _read_row,
+        st.binary() | JSON_VALUES.map(lambda value: zlib.compress(json.dumps(value).encode())),
+    ),
     "the key map": (_read_key_map, JSON_VALUES),
     "the link decoder": (
         _read_frame,
@@ -167,6 +183,7 @@
     "the response reader": (_read_response, HTTP_BYTES),
     "the request reader": (_read_requests, HTTP_BYTES),
 }
+NESTED_LISTS = b"[" * 4000
 DANGEROUS_INPUT: dict[str, Any] = {
     "a key of 5000 digits": {"shard-key": "9" * 5000},
     "a deadline of 5000 digits": {"request-deadline": "9" * 5000},
@@ -181,6 +198,11 @@
         "owners": [],
         "spans": [[0, 9, 3, 1, 0, -1]],
     },
+    "a field that is nested 4000 deep": b'{"more":' + NESTED_LISTS,
+    "a compressed list of 4000 levels": zlib.compress(NESTED_LISTS),
+    "a row that is not an object": zlib.compress(b"[1]"),
+    # MessagePack for a list of one element, 4000 times.
+    "a message of 4000 levels": struct.pack(">I", 4000) + b"\x91" * 4000,
 }
 
 
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -41,6 +41,7 @@
     return {"table": "t", "part": "", "key": key, "value": data, "ver": ver}
 
 
+NESTED_LISTS = b"[" * 4000
 ENTRY = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -59,6 +60,10 @@
     "bad json": _response(200, "{"),
     "two rows": _response(200, {"rows": [_row("a", 19), _row("b", 20)], "ver": 20, "nowS": 1}),
     "unreadable row": _response(200, {"rows": [_stored("a", 19, b"{}")], "ver": 20, "nowS": 1}),
+    "nested row": _response(
+        200, {"rows": [_stored("a", 19, zlib.compress(NESTED_LISTS))], "ver": 20, "nowS": 1}
+    ),
+    "nested body": _response(200, '{"rows":' + NESTED_LISTS.decode()),
     "gone": _response(410, ""),
     "truncated changes": _response(
         200, {"rows": [_row("a", 19), _row("b", 20)], "truncated": True, "ver": 44}
@@ -78,6 +83,13 @@
             "ver": 3,
         },
     ),
+    "a nested entry": _response(
+        200,
+        {
+            "rows": [_entry("u1", 1, ENTRY), _stored("u4", 2, b'{"labels":' + NESTED_LISTS)],
+            "ver": 2,
+        },
+    ),
 }
 
 
--- a/features/users_platform/store.feature
+++ b/features/users_platform/store.feature
@@ -29,6 +29,8 @@
       | busy      | PlatformUnavailableError |
       | silent    | PlatformUnavailableError |
       | unreadable row | PlatformUnavailableError |
+      | nested row | PlatformUnavailableError |
+      | nested body | PlatformUnavailableError |
 
   Scenario: the owners of a large fleet fit in one row
     Given the store answers "committed"
@@ -49,3 +51,8 @@
     Given the store answers "entries"
     When the registry is read
     Then the registry has "u1 usable, u2 none, u3 none"
+
+  Scenario: an entry that is nested too deeply does not end the process, and the others hold
+    Given the store answers "a nested entry"
+    When the registry is read
+    Then the registry has "u1 usable, u4 none"
--- a/src/acaciasaddle/entry/_operator.py
+++ b/src/acaciasaddle/entry/_operator.py
@@ -12,6 +12,7 @@
 import trio
 
 from acaciasaddle.config import parse_config
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import AcaciasaddleError
 from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import ConfigError
@@ -406,5 +407,5 @@
         more = message.get("more_body", False)
     try:
         return json.loads(bytes(data))
-    except ValueError as exc:
+    except DECODING_ERRORS as exc:
         raise HttpError(400, {"error": f"the body is not JSON: {exc}"}) from exc
--- a/src/acaciasaddle/errors/__init__.py
+++ b/src/acaciasaddle/errors/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from acaciasaddle.errors._decoding import DECODING_ERRORS
 from acaciasaddle.errors._groups import leaf_exceptions
 from acaciasaddle.errors._tree import AcaciasaddleError
 from acaciasaddle.errors._tree import AuthorityLostError
@@ -22,6 +23,7 @@
 from acaciasaddle.errors._tree import WriteOutcomeUnknownError
 
 __all__ = [
+    "DECODING_ERRORS",
     "AcaciasaddleError",
     "AuthorityLostError",
     "ConditionFailedError",
--- a/src/acaciasaddle/explain/_logs.py
+++ b/src/acaciasaddle/explain/_logs.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from acaciasaddle.errors import DECODING_ERRORS
+
 if TYPE_CHECKING:
     import os
     from collections.abc import Iterable
@@ -59,7 +61,7 @@
         fields = json.loads(text[start:])
         event = fields.pop("event")
         at = datetime.fromisoformat(fields.pop("timestamp")).timestamp()
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (KeyError, TypeError, AttributeError, *DECODING_ERRORS):
         return None
     return LogLine(
         at=at, number=number, host=str(fields.pop("host", "")), event=str(event), fields=fields
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.errors import UpstreamError
@@ -178,7 +179,7 @@
                 )
                 for first, last, owner, fence, moving, previous in raw.spans
             )
-        except (msgspec.ValidationError, IndexError) as exc:
+        except (IndexError, *DECODING_ERRORS) as exc:
             raise PlatformUnavailableError(
                 f"a row of owners cannot be decoded: {exc}", step="keyspace.owners"
             ) from exc
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.errors import PeerUnreachableError
 from acaciasaddle.fleet import UpstreamEntry
@@ -149,7 +150,7 @@
             if header & _COMPRESSED_FLAG:
                 data = zlib.decompressobj().decompress(data, MAX_FRAME_BYTES)
             return decoder.decode(data)
-        except (msgspec.DecodeError, zlib.error) as exc:
+        except (zlib.error, *DECODING_ERRORS) as exc:
             raise PeerProtocolError(str(exc), step="links.receive", peer=self._peer) from exc
 
     async def _read(self, count: int) -> bytes:
--- a/src/acaciasaddle/node/_settings.py
+++ b/src/acaciasaddle/node/_settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import ConfigError
 from acaciasaddle.json_comments import strip_comment_lines
 
@@ -103,7 +104,7 @@
         return msgspec.json.decode(strip_comment_lines(text), type=NodeSettings)
     except OSError as exc:
         reason = exc.strerror or str(exc)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODING_ERRORS as exc:
         reason = str(exc)
     raise ConfigError(
         f"the settings cannot be loaded: {reason}",
--- a/src/acaciasaddle/operator_api/_client.py
+++ b/src/acaciasaddle/operator_api/_client.py
@@ -13,6 +13,7 @@
 import httpcore
 from pydantic import ValidationError
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import ConfigError
 from acaciasaddle.errors import Outcome
 from acaciasaddle.operator_api._bodies import ChangeAccepted
@@ -284,7 +285,7 @@
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         content = json.loads(body)
-    except ValueError:
+    except DECODING_ERRORS:
         return {}
     return content if isinstance(content, dict) else {}
 
--- a/src/acaciasaddle/ownership/_control.py
+++ b/src/acaciasaddle/ownership/_control.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.errors import UpstreamUnreachableError
@@ -101,7 +102,7 @@
                 running=frozenset(value["running"]),
                 state=str(value["state"]),
             )
-        except (ValueError, KeyError, TypeError) as exc:
+        except (KeyError, TypeError, *DECODING_ERRORS) as exc:
             raise self._error(f"order was answered with a malformed body: {exc}") from exc
 
     async def health(self) -> str:
@@ -115,7 +116,7 @@
             raise self._error(f"health check was answered with status {status}")
         try:
             return str(json.loads(data).get("state", "ready"))
-        except (ValueError, AttributeError) as exc:
+        except (AttributeError, *DECODING_ERRORS) as exc:
             raise self._error("health check was answered with a malformed body") from exc
 
     async def close(self) -> None:
--- a/src/acaciasaddle/platform/_decode.py
+++ b/src/acaciasaddle/platform/_decode.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import ConfigError
 from acaciasaddle.fleet import UpstreamEntry
 from acaciasaddle.fleet import UpstreamIncarnation
@@ -90,7 +91,7 @@
     """
     try:
         raw = _CONFIGURATION.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODING_ERRORS as exc:
         raise ConfigError(
             f"the configuration cannot be decoded: {exc}", step="platform.decode_configuration"
         ) from exc
@@ -148,7 +149,7 @@
     try:
         raw = _ENTRY.decode(data)
         _check_address(raw.address)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODING_ERRORS as exc:
         raise _unusable_entry(upstream_id, str(exc)) from exc
     if raw.slots < 1 or not raw.service:
         raise _unusable_entry(upstream_id, "it has no service or no slots")
--- a/src/acaciasaddle/platform/_store.py
+++ b/src/acaciasaddle/platform/_store.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from acaciasaddle.errors import DECODING_ERRORS
 from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import ConfigError
 from acaciasaddle.errors import HistoryExpiredError
@@ -145,7 +146,7 @@
         try:
             if resp.status == 200:
                 return _COMMITTED.decode(resp.body).ver
-        except msgspec.DecodeError as exc:
+        except DECODING_ERRORS as exc:
             raise WriteOutcomeUnknownError(str(exc), step=step, peer=self._address) from exc
         raise WriteOutcomeUnknownError(
             f"the store answered with status {resp.status}", step=step, peer=self._address
@@ -168,7 +169,7 @@
             raise self._unavailable(step, f"answered with status {resp.status}")
         try:
             return _ROWS.decode(resp.body)
-        except msgspec.DecodeError as exc:
+        except DECODING_ERRORS as exc:
             raise self._unavailable(step, f"malformed response: {exc}") from exc
 
     async def _call(self, method: str, target: str, body: bytes, *, wait_s: float) -> Response:
@@ -318,8 +319,14 @@
 def _row(table: str, row: _StoredRow) -> Row:
     try:
         value = json.loads(zlib.decompress(base64.b64decode(row.value)))
-    except (zlib.error, ValueError) as exc:
-        raise PlatformUnavailableError(
-            f"row {row.key!r} cannot be decoded: {exc}", step="store.row", peer=table
-        ) from exc
+    except (zlib.error, *DECODING_ERRORS) as exc:
+        raise _undecodable_row(table, row, str(exc)) from exc
+    if not isinstance(value, dict):
+        raise _undecodable_row(table, row, "the value is not an object")
     return Row(key=f"{table}/{row.key}", version=row.ver, revision=row.ver, value=value)
+
+
+def _undecodable_row(table: str, row: _StoredRow, reason: str) -> PlatformUnavailableError:
+    return PlatformUnavailableError(
+        f"row {row.key!r} cannot be decoded: {reason}", step="store.row", peer=table
+    )
