Accept only integers of 64 bits from the store, and survive what cannot be sent

Callers saw: while an entry with a 128-bit start stood in the registry, the coordinating process ended as soon as another host linked to it, again after each start; running requests got no answer.

Cause: JSON integers have any size, the MessagePack of a link holds 64 bits, and the encoder's OverflowError was caught nowhere. Ruled out: the receiving hosts, which never got the entry.

Change: integers of entries and configurations have to fit into 64 bits. A message that cannot be encoded ends its link. Related: an upstream id that no header can hold, and a health path that is not ASCII, raised UnicodeEncodeError in orders and health checks; the entry is unusable, the request not run.

--- a/features/fuzz/parsers.feature
+++ b/features/fuzz/parsers.feature
@@ -33,6 +33,7 @@
       | the row decoder     | a compressed list of 4000 levels     |
       | the row decoder     | a row that is not an object          |
       | the link decoder    | a message of 4000 levels             |
+      | the request writer  | a path that is not ASCII             |
 
   Scenario: a caller that resets its connection while a request is read ends only that connection
     Given a listener on loopback
--- a/features/links/changes.feature
+++ b/features/links/changes.feature
@@ -40,6 +40,10 @@
     When all owners of 300 upstreams with 800 spans are sent over a link
     Then they arrive unchanged in at most 16000 bytes
 
+  Scenario: a message that cannot be encoded ends the link, not the process
+    When an entry with a start of 128 bits is sent over a link
+    Then the link fails with "the message cannot be encoded"
+
   Scenario: a host reads a new configuration itself, and asks for it when it cannot
     Given a coordinator with configuration 5 and a host with configuration 4, linked
     When the link runs for 0.3 s
--- a/features/steps/fuzz_parsers_steps.py
+++ b/features/steps/fuzz_parsers_steps.py
@@ -139,6 +139,18 @@
     trio.run(main)
 
 
+def _write_request(target: str) -> None:
+    async def main() -> None:
+        near, _ = trio.testing.memory_stream_pair()
+        conn = ClientConnection(stream=near, peer="p")
+        try:
+            await conn.exchange(method="GET", target=target, headers=[(b"Host", b"a")])
+        except UpstreamError:
+            return
+
+    trio.run(main)
+
+
 def _read_requests(data: bytes) -> None:
     async def handle(req: CallerRequest) -> CallerResponse:
         return CallerResponse(status=200, headers=[], body=req.body)
@@ -182,6 +194,7 @@
     ),
     "the response reader": (_read_response, HTTP_BYTES),
     "the request reader": (_read_requests, HTTP_BYTES),
+    "the request writer": (_write_request, st.text()),
 }
 NESTED_LISTS = b"[" * 4000
 DANGEROUS_INPUT: dict[str, Any] = {
@@ -200,6 +213,7 @@
     },
     "a field that is nested 4000 deep": b'{"more":' + NESTED_LISTS,
     "a compressed list of 4000 levels": zlib.compress(NESTED_LISTS),
+    "a path that is not ASCII": "/gesundheit/ü",
     "a row that is not an object": zlib.compress(b"[1]"),
     # MessagePack for a list of one element, 4000 times.
     "a message of 4000 levels": struct.pack(">I", 4000) + b"\x91" * 4000,
--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -15,6 +15,7 @@
 
 from acaciasaddle.clock import TrioClock
 from acaciasaddle.emulator._fleet import reserve_port
+from acaciasaddle.errors import PeerError
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.fleet import RegistryChange
@@ -27,6 +28,7 @@
 from acaciasaddle.links._changes import apply_part
 from acaciasaddle.links._messages import ANSWER_DECODER
 from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import RegistryPart
 from acaciasaddle.links._messages import State
 from acaciasaddle.routing import CallerLimits
 from acaciasaddle.routing import Configuration
@@ -202,6 +204,30 @@
 
         trio.run(main)
 
+    @staticmethod
+    @when("an entry with a start of 128 bits is sent over a link")
+    def send_large_number(context: Any) -> None:
+        life = UpstreamIncarnation(upstream_id="u1", started_ms=2**127)
+        entry = replace(RegistryCursorSteps._entry(1), life=life)
+        part = RegistryPart(complete=True, entries=[entry], removed=[])
+
+        async def main() -> None:
+            stream: Any = _LoopbackStream()
+            await FrameStream(stream=stream, peer="p").send(
+                msgspec.structs.replace(_state([]), registry=part)
+            )
+
+        context.link_error = None
+        try:
+            trio.run(main)
+        except PeerError as exc:
+            context.link_error = exc
+
+    @staticmethod
+    @then('the link fails with "{reason}"')
+    def fails(context: Any, reason: str) -> None:
+        assert reason in str(context.link_error), context.link_error
+
     @staticmethod
     @then("they arrive unchanged in at most {max_bytes:d} bytes")
     def unchanged(context: Any, max_bytes: int) -> None:
--- a/features/steps/platform_decode_steps.py
+++ b/features/steps/platform_decode_steps.py
@@ -18,6 +18,15 @@
     "headerTimeoutS": 3,
     "idleTimeoutS": 15,
 }
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "capacity": 2,
+    "state": "ready",
+    "sequence": 4,
+    "born": 7,
+}
 SERVICE = {"healthPath": "/healthz", "maxConnections": 130, "protocol": "h1", "tls": False}
 
 
@@ -34,10 +43,10 @@
     }
 
 
-def _configuration(paths: list[dict[str, Any]]) -> bytes:
+def _configuration(paths: list[dict[str, Any]], *, version: int = 7) -> bytes:
     return json.dumps(
         {
-            "version": 7,
+            "version": version,
             "baseVersion": 5,
             "services": [
                 {"name": "a", "sharded": True, "warmupS": 3.0, **SERVICE},
@@ -65,6 +74,21 @@
             f"born {entry.life.started_ms}" + (", draining" if entry.draining else "")
         )
 
+    @staticmethod
+    @when("an entry with {field} {value:d} is decoded")
+    def decode_number(context: Any, field: str, value: int) -> None:
+        EntrySteps.decode(context, json.dumps({**ENTRY, field: value}))
+
+    @staticmethod
+    @when('an entry with the id "{upstream_id}" is decoded')
+    @when('an entry with the id "" is decoded')
+    def decode_id(context: Any, upstream_id: str = "") -> None:
+        context.entry = "usable"
+        try:
+            decode_entry(upstream_id.replace("\\n", "\n"), json.dumps(ENTRY).encode())
+        except ConfigError:
+            context.entry = "unusable"
+
     @staticmethod
     @then('the entry is "{result}"')
     def result(context: Any, result: str) -> None:
@@ -97,6 +121,17 @@
         except ConfigError:
             context.rejected = True
 
+    @staticmethod
+    @when("a configuration of version {version:d} is decoded")
+    def large_version(context: Any, version: int) -> None:
+        context.rejected = False
+        try:
+            decode_configuration(
+                _configuration([_path("r-1", "upload", service="b")], version=version)
+            )
+        except ConfigError:
+            context.rejected = True
+
     @staticmethod
     @then("the configuration is rejected")
     def rejected(context: Any) -> None:
--- a/features/users_platform/decode.feature
+++ b/features/users_platform/decode.feature
@@ -21,6 +21,34 @@
       | [1, 2]                                                                                                                             | unusable                              |
       | not json                                                                                                                           | unusable                              |
 
+  Scenario Outline: an entry with a number that messages between hosts cannot hold is not usable
+    When an entry with <field> <value> is decoded
+    Then the entry is "unusable"
+
+    Examples:
+      | field    | value                                    |
+      | born     | 340282366920938463463374607431768211456  |
+      | born     | 9223372036854775808                      |
+      | born     | -9223372036854775809                     |
+      | capacity | 18446744073709551616                     |
+      | sequence | 340282366920938463463374607431768211456  |
+
+  Scenario Outline: an entry whose id cannot be sent in a header is not usable
+    When an entry with the id "<id>" is decoded
+    Then the entry is "unusable"
+
+    Examples:
+      | id      |
+      |         |
+      | u 1     |
+      | u\n1    |
+      | ü1      |
+      | 服務    |
+
+  Scenario: a configuration with a number that messages between hosts cannot hold is rejected
+    When a configuration of version 340282366920938463463374607431768211456 is decoded
+    Then the configuration is rejected
+
   Scenario: a configuration is decoded into the router's own types
     When a configuration in the platform's format is decoded
     Then its routes are "r-1 idempotent a 90 b 10, r-2 once a 1, r-3 once bulky b 1"
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -158,7 +158,7 @@
             head = self._parser.send(request) or b""
             data = body and (self._parser.send(h11.Data(data=body)) or b"")
             self._parser.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as exc:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
             raise UpstreamError(
                 f"cannot send the request: {exc}",
                 outcome=Outcome.NOT_RUN,
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -125,7 +125,12 @@
 
     async def send(self, message: msgspec.Struct) -> None:
         """Send a message."""
-        data = _ENCODER.encode(message)
+        try:
+            data = _ENCODER.encode(message)
+        except (OverflowError, ValueError) as exc:
+            raise PeerProtocolError(
+                f"the message cannot be encoded: {exc}", step="links.send", peer=self._peer
+            ) from exc
         flag = 0
         if len(data) >= MIN_COMPRESSED_BYTES:
             data = zlib.compress(data, zlib.Z_BEST_SPEED)
--- a/src/acaciasaddle/platform/_decode.py
+++ b/src/acaciasaddle/platform/_decode.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ipaddress
+import re
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -19,6 +21,11 @@
 from acaciasaddle.routing import Target
 
 MAX_PORT = 65_535
+UPSTREAM_ID = re.compile(r"[!-~]+")
+"""An upstream's id is sent in a header, which holds printable ASCII without spaces."""
+
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""JSON sets no limit to integers, but messages between hosts hold 64 bits."""
 
 
 class _WeightedService(msgspec.Struct):
@@ -33,8 +40,8 @@
     timeout_s: float = msgspec.field(name="timeoutS")
     objective_s: float = msgspec.field(name="targetLatencyS")
     # Limits the upstreams that one request is sent to, not the attempts.
-    max_upstreams: int = msgspec.field(name="maxAttempts")
-    rank: int = msgspec.field(name="priority")
+    max_upstreams: Int64 = msgspec.field(name="maxAttempts")
+    rank: Int64 = msgspec.field(name="priority")
     service: str | None = None
     split: list[_WeightedService] | None = msgspec.field(name="trafficSplit", default=None)
 
@@ -48,20 +55,20 @@
     name: str
     health_path: str = msgspec.field(name="healthPath")
     # Limits the connections of all hosts together to one upstream, not those of each host.
-    max_connections: int = msgspec.field(name="maxConnections")
+    max_connections: Int64 = msgspec.field(name="maxConnections")
     keyed: bool = msgspec.field(name="sharded", default=False)
     warmup_s: float = msgspec.field(name="warmupS", default=0.0)
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = msgspec.field(name="maxHeaderBytes")
-    body_bytes: int = msgspec.field(name="maxBodyBytes")
+    header_bytes: Int64 = msgspec.field(name="maxHeaderBytes")
+    body_bytes: Int64 = msgspec.field(name="maxBodyBytes")
     header_timeout_s: float = msgspec.field(name="headerTimeoutS")
     idle_timeout_s: float = msgspec.field(name="idleTimeoutS")
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Int64
     hosts: list[_VirtualHost] = msgspec.field(name="virtualHosts")
     services: list[_Service]
     limits: _Limits
@@ -71,11 +78,11 @@
     service: str
     address: str
     zone: str
-    slots: int = msgspec.field(name="capacity")
+    slots: Int64 = msgspec.field(name="capacity")
     state: Literal["ready", "draining"]
     # Milliseconds since the epoch at the start of the process.
-    born: int
-    sequence: int
+    born: Int64
+    sequence: Int64
     # Seconds for which the upstream remains slow, counted from its own report.
     cold_s: float = msgspec.field(name="slowStartS_time", default=0.0)
 
@@ -153,6 +160,8 @@
         raise _unusable_entry(upstream_id, str(exc)) from exc
     if raw.slots < 1 or not raw.service:
         raise _unusable_entry(upstream_id, "it has no service or no slots")
+    if not UPSTREAM_ID.fullmatch(upstream_id):
+        raise _unusable_entry(upstream_id, "its id cannot be sent in a header")
     return UpstreamEntry(
         life=UpstreamIncarnation(upstream_id=upstream_id, started_ms=raw.born),
         service=raw.service,
@@ -167,7 +176,7 @@
 def _check_address(address: str) -> None:
     host, _, port = address.rpartition(":")
     ipaddress.ip_address(host)
-    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if not (port.isascii() and port.isdigit()) or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f"{address!r} has no valid port")
 
 
