Send a request again on a connection that has not carried it

Callers saw: requests that may run once ran twice, or were answered 503 and ran, at upstreams that reject at random and send late second copies of answers.

Cause: a resend carries the same id and usually went out on the connection of the rejected send; answers are matched by id alone, so a copy of the rejection passed for the answer to the resend. Ruled out: a copy that reaches another request, which the id keeps apart.

Change: ConnectionPool.acquire leaves out the connections that have carried the request. Failures of repeatable requests are covered too.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -113,6 +113,21 @@
     When a lookup with key 77 is forwarded
     Then the caller gets 200 "done"
 
+  Scenario: a late copy of a rejection is not taken for the answer to the next send
+    Given upstream "u1" of the keyed service answers "full copied, ok"
+    And "u1" owns all keys
+    When a booking with key 77 is forwarded
+    Then the caller gets 200 "done"
+    And upstreams got 2 requests
+    And upstream "u1" saw 2 connections
+
+  Scenario: a late copy of a failure is not taken for the answer to the next send
+    Given upstream "u1" of the keyed service answers "fails copied, ok"
+    And "u1" owns all keys
+    When a lookup with key 77 is forwarded
+    Then the caller gets 200 "done"
+    And upstreams got 2 requests
+
   Scenario: a request is not sent again to an owner without free slots
     Given upstream "u1" of the keyed service answers "full, ok"
     And "u1" owns all keys
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -71,6 +71,7 @@
         _route("patient-lookup", "open", Repeat.IDEMPOTENT, timeout_s=20.0),
         _route("patient-booking", "open", Repeat.ONCE, timeout_s=20.0),
         _route("keyed", "keyed", Repeat.IDEMPOTENT),
+        _route("keyed-booking", "keyed", Repeat.ONCE),
     ),
     services={name: _service(name) for name in ("open", "keyed")},
     limits=CallerLimits(),
@@ -207,6 +208,11 @@
     def keyed_lookup(context: Any, key: int) -> None:
         ForwarderRequestSteps._forward(context, ["/keyed/1"], key=key)
 
+    @staticmethod
+    @when("a booking with key {key:d} is forwarded")
+    def keyed_booking(context: Any, key: int) -> None:
+        ForwarderRequestSteps._forward(context, ["/keyed-booking/1"], key=key)
+
     @staticmethod
     @when("a request for an unknown path is forwarded")
     def unknown_path(context: Any) -> None:
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -24,6 +24,8 @@
     connection. After a response that begins with ``+`` the connection stays open, after one that
     begins with ``!`` it is reset. The part of a
     response after ``ENDLESS`` is sent again and again until the client closes the connection.
+    A response that begins with ``+=`` is sent a second time on its connection, before the response
+    to the next request there.
     """
 
     def __init__(self, *, responses: list[str]) -> None:
@@ -32,6 +34,7 @@
         self.connections = 0
         self.broken_connections = 0
         self.address = ""
+        self._copies: dict[trio.SocketStream, str] = {}
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -41,6 +44,7 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        self._copies[stream] = ""
         try:
             async with stream:
                 while await self._serve_one(stream):
@@ -65,6 +69,7 @@
             else:
                 return False
         self.requests.append((request, body))
+        await stream.send_all(self._copies[stream].encode())
         response = self._responses.pop(0) if len(self._responses) > 1 else self._responses[0]
         if response == SILENT:
             await trio.sleep_forever()
@@ -74,7 +79,8 @@
             self._reset_on_close(stream)
             return False
         headers = {name.decode(): value.decode() for name, value in request.headers}
-        text = response.lstrip("+!").replace("{id}", headers.get("request-id", ""))
+        text = response.lstrip("+!=").replace("{id}", headers.get("request-id", ""))
+        self._copies[stream] = text if response.startswith("+=") else ""
         text, _, repeated = text.partition(ENDLESS)
         await stream.send_all(text.replace("\\r\\n", "\r\n").encode())
         while repeated:
@@ -110,6 +116,9 @@
 RESPONSES = {
     "ok": ok(),
     "full": not_run(503),
+    "full copied": "+=" + not_run(503).lstrip("+"),
+    "fails copied": "+=HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nResponse-Signature: s.2\r\n"
+    "Content-Length: 0\r\n\r\n",
     "moved": not_run(421),
     "replaced": not_run(421, upstream_id="u9"),
     "fails": "+HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nResponse-Signature: s.2\r\n"
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -23,6 +23,7 @@
 from acaciasaddle.forward._types import CallerResponse
 from acaciasaddle.forward._types import RequestMetadata
 from acaciasaddle.forward._upstreams import UpstreamStates
+from acaciasaddle.http1 import ClientConnection
 from acaciasaddle.keyspace import LoadSample
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import get_logger
@@ -77,8 +78,10 @@
     """A request that is being forwarded, and the result of its sends so far.
 
     ``ends_at`` is the deadline on trio's clock. ``tried`` has the upstreams that it was sent to or
-    that could not be reached, and ``upstream`` is the last one tried. ``outcome`` says whether any
-    send may have run the request.
+    that could not be reached, and ``upstream`` is the last one tried. ``connections`` are those
+    that carried it: an upstream may send a second copy of an answer, which must not be taken for
+    the answer to a later send of the same request. ``outcome`` says whether any send may have run
+    the request.
     """
 
     req: CallerRequest
@@ -88,6 +91,7 @@
     ends_at: float
     sends: int = 0
     tried: set[str] = field(default_factory=set)
+    connections: list[ClientConnection] = field(default_factory=list)
     outcome: Outcome = Outcome.NOT_RUN
     upstream: str = ""
 
@@ -339,7 +343,10 @@
         """
         state = self._states.of(upstream.upstream_id)
         pending.upstream = upstream.upstream_id
-        conn = await self._pool.acquire(upstream, fresh=not pending.repeatable)
+        conn = await self._pool.acquire(
+            upstream, fresh=not pending.repeatable, without=pending.connections
+        )
+        pending.connections.append(conn)
         pending.sends += 1
         pending.tried.add(upstream.upstream_id)
         earlier = pending.outcome
--- a/src/acaciasaddle/forward/_pool.py
+++ b/src/acaciasaddle/forward/_pool.py
@@ -10,6 +10,8 @@
 from acaciasaddle.http1 import ClientConnection
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from acaciasaddle.fleet import UpstreamEntry
 
 CONNECT_TIMEOUT_S = 0.3
@@ -41,14 +43,34 @@
         """Number of idle connections."""
         return sum(map(len, self._idle.values()))
 
-    async def acquire(self, upstream: UpstreamEntry, *, fresh: bool) -> ClientConnection:
+    async def acquire(
+        self,
+        upstream: UpstreamEntry,
+        *,
+        fresh: bool,
+        without: Collection[ClientConnection] = (),
+    ) -> ClientConnection:
         """Return a usable idle connection, or open a new one.
 
         With ``fresh`` only connections that became idle less than ``FRESH_IDLE_S`` ago are reused.
-        Raises ``UpstreamUnreachableError`` if the upstream does not accept a new connection.
+        Connections in ``without`` stay idle. Raises ``UpstreamUnreachableError`` if the upstream
+        does not accept a new connection.
         """
+        idle = self._idle.get(upstream.upstream_id, deque())
+        skipped = [idle_conn for idle_conn in idle if idle_conn in without]
+        for skipped_conn in skipped:
+            idle.remove(skipped_conn)
+        conn = self._take_idle(idle, fresh=fresh)
+        idle.extend(skipped)
+        if conn is not None:
+            return conn
+        self.opened += 1
+        return await ClientConnection.connect(address=upstream.address, timeout_s=CONNECT_TIMEOUT_S)
+
+    @staticmethod
+    def _take_idle(idle: deque[ClientConnection], *, fresh: bool) -> ClientConnection | None:
+        """Remove the newest usable connection and return it; reset those that are not usable."""
         now = trio.current_time()
-        idle = self._idle.get(upstream.upstream_id)
         while idle:
             conn = idle.pop()
             limit = (conn.keep_alive_s or DEFAULT_IDLE_S + IDLE_MARGIN_S) - IDLE_MARGIN_S
@@ -58,10 +80,9 @@
             if fresh and now - conn.idle_since >= FRESH_IDLE_S:
                 # The others have been idle for longer; keep them for repeatable requests.
                 idle.append(conn)
-                break
+                return None
             return conn
-        self.opened += 1
-        return await ClientConnection.connect(address=upstream.address, timeout_s=CONNECT_TIMEOUT_S)
+        return None
 
     def release(self, upstream: UpstreamEntry, conn: ClientConnection) -> None:
         """Return a connection to the pool, or reset it if it cannot be reused.
