Check that a span is current in the step that records its lease

Seen: two upstreams held the same keys for up to 1.2 s after one of them had left orders unanswered while it drained.

Cause: after a failed renewal a second grant follows the first success, without a check that the keys had not begun to move meanwhile; the move had noted the end of the leases before. Ruled out: an order carried out late, which the lease's end allows for.

Change: LeaseManager.grant checks the span itself, right before it records the lease, and returns false if it has changed. Renewals and the grants of moves rely on it.

--- a/features/keyspace/coordinator.feature
+++ b/features/keyspace/coordinator.feature
@@ -47,6 +47,19 @@
     Then no key had two owners
     And all keys are owned
 
+  Scenario Outline: no lease is granted for keys that began to move while a renewal was answered late
+    When after 1 s upstream "u3" freezes
+    And after <pause> s upstream "u3" answers again, 0.6 s late, drains after the next renewal and ignores releases
+    And the key fleet runs for 12 s
+    Then no key had two owners
+    And all keys are owned
+
+    Examples:
+      | pause |
+      | 0.4   |
+      | 0.8   |
+      | 1.0   |
+
   Scenario: keys move before their lease ends if another upstream took their owner's address
     When after 1 s another upstream takes the address of "u4"
     And the key fleet runs for 2 s
--- a/features/steps/keyspace_coordinator_steps.py
+++ b/features/steps/keyspace_coordinator_steps.py
@@ -40,15 +40,31 @@
             host.table.faults.store = StoreState.SLOW
             host.table.faults.delay_ms = seconds * 1000
 
+    @staticmethod
+    def _drain(fleet: KeyFleet, name: str) -> None:
+        upstream = fleet.upstream(name)
+        upstream.entry = replace(upstream.entry, draining=True)
+        fleet.register()
+
     @staticmethod
     @when('after {pause:g} s upstream "{name}" drains')
     def drain(context: Any, pause: float, name: str) -> None:
         fleet = context.key_fleet
+        context.script.append((pause, lambda: CoordinatorFaultSteps._drain(fleet, name)))
+
+    @staticmethod
+    @when(
+        'after {pause:g} s upstream "{name}" answers again, {delay:g} s late, '
+        "drains after the next renewal and ignores releases"
+    )
+    def answer_late_and_drain(context: Any, pause: float, name: str, delay: float) -> None:
+        fleet = context.key_fleet
 
         def act() -> None:
             upstream = fleet.upstream(name)
-            upstream.entry = replace(upstream.entry, draining=True)
-            fleet.register()
+            upstream.frozen, upstream.ignores_releases = False, True
+            upstream.grant_response_s = delay
+            upstream.after_grant = lambda: CoordinatorFaultSteps._drain(fleet, name)
 
         context.script.append((pause, act))
 
--- a/features/support/key_fleet.py
+++ b/features/support/key_fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -66,7 +67,10 @@
     leases end. A silent one accepts no connections; whether a frozen one has carried out an order
     is not known. Once it is no longer ``alive``, it holds none. ``replaced`` is true once another
     upstream has its address. If ``loses_responses`` is true, it carries out orders but its
-    responses are lost. ``work_s`` is the time for which a release waits for work in progress.
+    responses are lost. If ``ignores_releases`` is true, it carries out no releases. ``work_s`` is
+    the time for which a release waits for work in progress, ``grant_response_s`` that after which
+    the response to a grant arrives. ``after_grant`` is called once, when the next grant has been
+    carried out.
     """
 
     entry: UpstreamEntry
@@ -77,7 +81,10 @@
     frozen: bool = False
     replaced: bool = False
     loses_responses: bool = False
+    ignores_releases: bool = False
     work_s: float = 0.0
+    grant_response_s: float = 0.0
+    after_grant: Callable[[], None] | None = None
 
     def holds(self, bucket: int) -> bool:
         return self.alive and self.held_until.get(bucket, 0.0) > trio.current_time()
@@ -113,10 +120,17 @@
             upstream.held_until[bucket] = trio.current_time() + lease_s * SLOW_CLOCK_FACTOR
             self._fleet.check_single_holder(bucket, "grant")
         self._fleet.grants.append((owner.incarnation.upstream_id, keys, handover))
+        if upstream.after_grant is not None:
+            act, upstream.after_grant = upstream.after_grant, None
+            act()
+        await trio.sleep(upstream.grant_response_s)
         await self._respond(upstream, timeout_s)
 
     async def release(self, owner: Owner, keys: KeyRange, *, fence: int, timeout_s: float) -> str:
         upstream = await self._reach(owner, timeout_s)
+        if upstream.ignores_releases:
+            await trio.sleep(timeout_s)
+            raise UpstreamError("no response arrived", outcome=Outcome.UNKNOWN, step="order")
         for bucket in self._buckets(keys):
             upstream.fences[bucket] = max(fence, upstream.fences.get(bucket, 0))
             upstream.held_until.pop(bucket, None)
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -361,9 +361,10 @@
         if span.previous is not None:
             handover = await self._leases.reclaim_keys(span, span.previous)
         released_at = self._clock.now()
-        while self._leases.is_current(move.service, span):
+        while True:
             try:
-                await self._leases.grant(span, handover=handover)
+                if not await self._leases.grant(move.service, span, handover=handover):
+                    return
             except AuthorityLostError as exc:
                 log.info("grant postponed", reason=str(exc), fence=span.fence)
                 await trio.sleep(RELEASE_RETRY_S)
--- a/src/acaciasaddle/keyspace/_grants.py
+++ b/src/acaciasaddle/keyspace/_grants.py
@@ -161,14 +161,19 @@
         """Return the state of an owner. A new one is created for an unknown owner."""
         return self._owner_states.setdefault(owner, OwnerState(settled_until=self._clock.now()))
 
-    async def grant(self, span: Span, *, handover: str = "") -> None:
-        """Grant or renew the keys of a span.
+    async def grant(self, service: str, span: Span, *, handover: str = "") -> bool:
+        """Grant or renew the keys of a span. Return false if the span has changed since.
+
+        ``reclaim_keys`` waits only for leases that were granted before the keys began to move, so
+        none may be granted afterwards.
 
         While grants to the upstream fail, the lease is not extended: if the upstream is lost, its
         keys can be granted elsewhere only when all leases that it may have accepted have ended.
         Raises ``AuthorityLostError`` if this host's role may have lapsed, and ``UpstreamError`` if
         the order failed.
         """
+        if not self.is_current(service, span):
+            return False
         now = self._clock.now()
         if self._role.lapsed:
             raise AuthorityLostError(
@@ -202,6 +207,7 @@
             state.settle_grant(number, carried_out=carried_out)
         state.record_success()
         self._metrics.count("keyspace.granted")
+        return True
 
     async def renew_leases(self, nursery: trio.Nursery) -> None:
         """Call ``start_renewals`` every ``KEY_RENEWAL_S`` seconds."""
@@ -229,13 +235,13 @@
     async def _renew(self, owner: Owner, state: OwnerState, spans: list[tuple[str, Span]]) -> None:
         try:
             for service, span in spans:
-                if state.lost or not self.is_current(service, span):
+                if state.lost:
                     continue
                 was_failing = state.failing_since is not None
-                await self.grant(span)
-                if was_failing:
+                granted = await self.grant(service, span)
+                if granted and was_failing:
                     # The upstream is back; the first grant did not extend its lease.
-                    await self.grant(span)
+                    await self.grant(service, span)
         except AuthorityLostError as exc:
             log.info(
                 "lease renewal postponed", reason=str(exc), upstream=owner.incarnation.upstream_id
