Do not use a connection again that carried a refused order

A second copy of a 409 on a kept connection passed for the response to the next grant, whose lease then was not counted; a copy of a 400, 404 or 421 made a living upstream count as ended.

Change: a connection that carried anything but a 200 is reset.

Evidence: five examples of users_platform/orders.feature failed before and pass now. No run of real processes has shown two owners by this way.

--- a/features/steps/platform_orders_steps.py
+++ b/features/steps/platform_orders_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from typing import TYPE_CHECKING
 from typing import Any
 
 import h11
@@ -20,6 +21,10 @@
 from acaciasaddle.keyspace import Owner
 from acaciasaddle.platform import PlatformOrders
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
 KEYS = KeyRange(0, 99)
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -91,6 +96,38 @@
         context.answered_twice = order
         context.delay_s = seconds
         context.releases = 0
+        context.refusal = b""
+
+    @staticmethod
+    @given(
+        "an upstream that refuses its first grant with {status:d}, and again {seconds:g} s later"
+    )
+    def refusing_upstream(context: Any, status: int, seconds: float) -> None:
+        SecondCopySteps.upstream(context, "grant", seconds)
+        context.refusal = EMPTY_RESPONSE.replace(b"200 OK", f"{status} No".encode())
+
+    @staticmethod
+    @when("a grant is refused and a {order} is sent")
+    def refused_then(context: Any, order: str) -> None:
+        async def send(orders: PlatformOrders, owner: Owner) -> None:
+            with suppress(UpstreamError):
+                await _grant(orders, owner)
+                raise AssertionError("the first grant was not refused")
+            try:
+                if order == "grant":
+                    await _grant(orders, owner)
+                else:
+                    await orders.release(owner, KEYS, fence=2, timeout_s=1.0)
+                context.outcome = "carried out"
+            except UpstreamError as exc:
+                context.outcome = f"{type(exc).__name__} {exc.outcome.value}"
+
+        SecondCopySteps._run(context, send)
+
+    @staticmethod
+    @then("the second order is carried out")
+    def second_carried_out(context: Any) -> None:
+        assert context.outcome == "carried out", context.outcome
 
     @staticmethod
     async def _serve(context: Any, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
@@ -114,6 +151,11 @@
         context: Any, stream: trio.SocketStream, order: str, nursery: trio.Nursery
     ) -> None:
         response = EMPTY_RESPONSE
+        if context.refusal:
+            response, context.refusal = context.refusal, b""
+        elif order == "grant" and context.answered_twice == "grant":
+            # The second copy of the first response arrives before this one.
+            await trio.sleep(context.delay_s * 2)
         if order == "release":
             context.releases += 1
             if context.releases > 1 or context.answered_twice == "grant":
@@ -143,21 +185,28 @@
 
     @staticmethod
     def _send_orders(context: Any, *, releases: int) -> None:
+        async def send(orders: PlatformOrders, owner: Owner) -> None:
+            await _grant(orders, owner)
+            context.handovers = [
+                await orders.release(owner, KEYS, fence=2, timeout_s=1.0) for _ in range(releases)
+            ]
+
+        SecondCopySteps._run(context, send)
+
+    @staticmethod
+    def _run(context: Any, send: Callable[[PlatformOrders, Owner], Awaitable[None]]) -> None:
         async def main() -> None:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
             async with trio.open_nursery() as nursery:
 
                 async def serve(stream: trio.SocketStream) -> None:
-                    await SecondCopySteps._serve(context, stream, nursery)
+                    # The client resets connections that it does not use again.
+                    with suppress(trio.BrokenResourceError):
+                        await SecondCopySteps._serve(context, stream, nursery)
 
                 nursery.start_soon(trio.serve_listeners, serve, listeners)
-                orders, owner = PlatformOrders(), _owner(address)
-                await _grant(orders, owner)
-                context.handovers = [
-                    await orders.release(owner, KEYS, fence=2, timeout_s=1.0)
-                    for _ in range(releases)
-                ]
+                await send(PlatformOrders(), _owner(address))
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
--- a/features/users_platform/orders.feature
+++ b/features/users_platform/orders.feature
@@ -25,6 +25,19 @@
     When a grant, a release and a release are sent
     Then the handovers are "h1, h2"
 
+  Scenario Outline: a second copy of a refusal is not taken for the response to the next order
+    Given an upstream that refuses its first grant with <status>, and again 0.05 s later
+    When a grant is refused and a <order> is sent
+    Then the second order is carried out
+
+    Examples:
+      | status | order   |
+      | 409    | grant   |
+      | 404    | grant   |
+      | 503    | grant   |
+      | 409    | release |
+      | 421    | release |
+
   Scenario Outline: an upstream responds only if it answers a health check
     Given an upstream that answers orders with "<answer>"
     When the upstream is probed
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -23,6 +23,7 @@
     from acaciasaddle.keyspace import KeyRange
     from acaciasaddle.keyspace import Owner
 
+HTTP_OK = 200
 CONNECT_TIMEOUT_S = 0.5
 REPLACED_STATUSES = (400, 404, 421)
 """Statuses that show that another upstream answered. The address of an ended upstream may be reused
@@ -46,7 +47,8 @@
     Responses to orders do not say which order they answer, and an upstream may send a second copy
     of one later. Keys must not be granted elsewhere because of such a copy: only the response to a
     release has a handover, and a connection carries at most one release, as its last order but for
-    grants.
+    grants. A connection that carried a refusal is not used again, since a copy of the refusal would
+    make the next order count as not carried out.
     """
 
     def __init__(self) -> None:
@@ -129,6 +131,7 @@
                     body=data,
                     matches=_may_answer_release if is_release else None,
                 )
+            conn.reusable = conn.reusable and resp.status == HTTP_OK
         except trio.TooSlowError as exc:
             outcome = Outcome.UNKNOWN if conn else Outcome.NOT_RUN
             raise UpstreamError(
@@ -151,7 +154,7 @@
             raise ReplacedError(
                 f"another upstream answered with status {resp.status}", step=step, peer=address
             )
-        if resp.status != 200:
+        if resp.status != HTTP_OK:
             raise UpstreamError(
                 f"the upstream answered with status {resp.status}",
                 outcome=Outcome.UNKNOWN,
@@ -174,4 +177,4 @@
 
 def _may_answer_release(resp: Response) -> bool:
     """Return whether a response may be that to a release."""
-    return resp.status != 200 or HANDOVER in resp.fields
+    return resp.status != HTTP_OK or HANDOVER in resp.fields
