Refuse at once what a planned stop might break off

Callers saw: requests sent 3.1 to 3.4 s after the SIGTERM of a host, closed without an answer at 5.6 s while an upstream was running them.

Cause: a stopping host took every request until 3.4 s after the signal and broke off what was left at 5.6 s, whatever time a request had. Ruled out: the exit does not come early, and the upstreams did not break off.

Change: PlannedStop says when the host breaks off; a request that may last longer is refused before it is sent, with a truthful 503.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -142,6 +142,21 @@
     When a lookup with key 77 is forwarded
     Then the caller gets 503 ""
 
+  Scenario: a stopping host refuses at once what its stop might break off
+    Given upstream "u1" of the open service answers "ok"
+    And the host breaks off requests in 0.3 s
+    When a booking is forwarded
+    Then the caller gets 503 ""
+    And the caller is told when to retry
+    And the log and the counters show "this host stops" once
+    And upstreams got 0 requests
+
+  Scenario: a stopping host serves a request that is given up before the stop ends
+    Given upstream "u1" of the open service answers "ok"
+    And the host breaks off requests in 0.6 s
+    When a booking is forwarded
+    Then the caller gets 200 "done"
+
   Scenario: a request waits while its key moves
     Given upstream "u1" of the keyed service answers "ok"
     And all keys move to "u1" for 0.1 s
--- a/features/node/stop.feature
+++ b/features/node/stop.feature
@@ -6,6 +6,23 @@
     When the node gets SIGTERM before its services have started
     Then the node stops its services
 
+  Scenario Outline: a stopping host takes only requests that it will probably not break off
+    Given a host that gets the signal to stop at 0 s and breaks off requests at 5.6 s
+    When a <kind> request that is given up after <wait> s and should take <expected> s arrives at <at> s
+    Then the request is <taken>
+
+    Examples:
+      | kind       | wait | expected | at  | taken   |
+      | repeatable | 4    | 1.0      | 1.5 | taken   |
+      | once-only  | 4    | 1.0      | 1.5 | taken   |
+      | repeatable | 4    | 1.0      | 2.5 | taken   |
+      | repeatable | 4    | 1.5      | 2.5 | refused |
+      | once-only  | 4    | 0.1      | 2.5 | refused |
+      | repeatable | 4    | 0.1      | 3.1 | refused |
+      | repeatable | 2    | 1.0      | 3.1 | taken   |
+      | repeatable | 60   | 0.1      | 0.1 | taken   |
+      | once-only  | 60   | 0.1      | 0.1 | refused |
+
   Scenario: the grace time runs from the announcement, even if another service is slow to stop
     Given a listener with 6 s of grace and an open connection
     When a stop is announced, another service takes 1.4 s to stop, and then the listener stops
--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -14,6 +14,9 @@
       | run-twice             | a deposit that ran twice                     | a read that ran twice                   |
       | not-run-but-ran       | a refused request that ran                   | a failed request that ran               |
       | completed-without-run | a request that completed without a run       | a completed request that ran            |
+      | lost-at-stop          | a request sent 3.1 s after a stop and cut    | a request sent 2.9 s after a stop and cut |
+      | lost-at-stop          | a running request cut 4 s after a stop       | a request answered 4 s after a stop     |
+      | lost-at-stop          | a request without a run, closed after 0.5 s  | a request without a run, closed at once |
       | foreign-answer        | a response to another request                | a completed request that ran            |
 
   Scenario: a seed always gives the same faults, and those of one target do not overlap
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -24,6 +24,7 @@
 from acaciasaddle.forward import BudgetLimits
 from acaciasaddle.forward import CallerRequest
 from acaciasaddle.forward import Forwarder
+from acaciasaddle.forward import PlannedStop
 from acaciasaddle.forward import RepeatBudget
 from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.keyspace import KeyRange
@@ -170,6 +171,11 @@
     def registers_anew(context: Any, name: str) -> None:
         context.restarts = name
 
+    @staticmethod
+    @given("the host breaks off requests in {seconds:g} s")
+    def stops(context: Any, seconds: float) -> None:
+        context.stops_in_s = seconds
+
     @staticmethod
     @given("no configuration")
     def no_configuration(context: Any) -> None:
@@ -248,6 +254,11 @@
                     data_centre="east",
                     metrics=context.metrics,
                 )
+                if hasattr(context, "stops_in_s"):
+                    now = trio.current_time()
+                    forwarder.note_stop(
+                        PlannedStop(announced_at=now, ends_at=now + context.stops_in_s)
+                    )
                 forwarder.total_busy = lambda: getattr(context, "total_busy", {})
                 # The choice among equal upstreams is random; give the first ones the lowest cost.
                 for index, name in enumerate(sorted(entries)):
--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -14,6 +14,7 @@
 from trio.testing import MockClock
 
 from acaciasaddle.callers import Listener
+from acaciasaddle.forward import PlannedStop
 from acaciasaddle.node._node import Node
 
 LIMIT_S = 5.0
@@ -65,6 +66,30 @@
         assert context.node_stopped, "the services were not stopped"
 
 
+class PlannedStopSteps:
+    """Guards against requests that a stop breaks off although another host could serve them."""
+
+    @staticmethod
+    @given("a host that gets the signal to stop at {at:g} s and breaks off requests at {end:g} s")
+    def stop(context: Any, at: float, end: float) -> None:
+        context.planned_stop = PlannedStop(announced_at=at, ends_at=end)
+
+    @staticmethod
+    @when(
+        "a {kind} request that is given up after {wait:g} s and should take {expected:g} s "
+        "arrives at {at:g} s"
+    )
+    def arrives(context: Any, kind: str, wait: float, expected: float, at: float) -> None:
+        context.taken = context.planned_stop.allows(
+            now=at, request_ends_at=at + wait, expected_s=expected, repeatable=kind == "repeatable"
+        )
+
+    @staticmethod
+    @then("the request is {outcome}")
+    def outcome(context: Any, outcome: str) -> None:
+        assert context.taken == (outcome == "taken"), context.taken
+
+
 class _OpenServer:
     """Stands in for a server whose connection stays open."""
 
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -46,7 +46,20 @@
     }
 
 
+def _stopped(*, sent: float, closed: float, runs: bool = True, status: int = 0) -> Records:
+    """Return the records of a request to a host that gets SIGTERM at 1 s."""
+    attempt = {**_attempt("unknown"), "started": sent, "at": closed, "status": status}
+    records = [{"kind": "signalled", "at": 1.0, "name": "h", "signum": 15}, attempt]
+    return [*records, _run(sent)] if runs else records
+
+
 RECORDS: dict[str, Records] = {
+    "a request sent 3.1 s after a stop and cut": _stopped(sent=4.1, closed=6.6),
+    "a request sent 2.9 s after a stop and cut": _stopped(sent=3.9, closed=6.6),
+    "a running request cut 4 s after a stop": _stopped(sent=3.0, closed=5.0),
+    "a request answered 4 s after a stop": _stopped(sent=3.0, closed=5.0, status=200),
+    "a request without a run, closed after 0.5 s": _stopped(sent=3.0, closed=3.5, runs=False),
+    "a request without a run, closed at once": _stopped(sent=3.0, closed=3.1, runs=False),
     "a grant while another lease runs": [
         _held(1.0, "u1@1", until=5.0),
         _held(4.0, "u2@1", until=8.0, first=9, last=20),
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -9,7 +9,7 @@
 import trio
 
 from acaciasaddle.callers._connection import CallerConnection
-from acaciasaddle.callers._connection import describe_error
+from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
 from acaciasaddle.observe import get_logger
 
@@ -165,7 +165,7 @@
         self._callers = callers
         self._grace_s = grace_s
         self.draining = False
-        self._stopping_since: float | None = None
+        self._planned_stop: PlannedStop | None = None
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         async with trio.open_nursery() as nursery:
@@ -174,24 +174,28 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def announce_stop(self) -> float:
+    def announce_stop(self) -> PlannedStop:
         """Report not ready, and announce to callers' connections that they are to close.
 
         Return the time of the first announcement, at which the grace time starts. The stop of other
         services is part of the grace time.
         """
-        if self._stopping_since is None:
+        if self._planned_stop is None:
             self.draining = True
-            self._stopping_since = trio.current_time()
+            now = trio.current_time()
+            self._planned_stop = PlannedStop(
+                announced_at=now, ends_at=now + self._grace_s - EXIT_MARGIN_S
+            )
             self._callers.announce_close()
-        return self._stopping_since
+        return self._planned_stop
 
     async def stop(self) -> None:
         """Serve new requests for part of the grace time, then finish those in progress."""
-        started = self.announce_stop()
-        await trio.sleep_until(started + max(self._grace_s / 2, self._grace_s - ACCEPT_MARGIN_S))
+        stop = self.announce_stop()
+        accept_s = max(self._grace_s / 2, self._grace_s - ACCEPT_MARGIN_S)
+        await trio.sleep_until(stop.announced_at + accept_s)
         self._callers.close_idle()
-        with trio.move_on_at(started + self._grace_s - EXIT_MARGIN_S):
+        with trio.move_on_at(stop.ends_at):
             while self._callers.open_connections:
                 await trio.sleep(POLL_S)
         log.info("listener stopped", open=self._callers.open_connections)
@@ -199,7 +203,7 @@
 
 ACCEPT_MARGIN_S = 2.6
 """The listener stops accepting requests this long before the end of the grace time, or halfway
-through it if that is later. Most requests that arrive by then finish in time."""
+through it if that is later. Requests that might not finish by then are refused before."""
 EXIT_MARGIN_S = 0.4
 """The listener stops waiting for open connections this long before the end of the grace time."""
 POLL_S = 0.05
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -11,6 +11,7 @@
 
 from acaciasaddle.emulator._fleet import FleetError
 from acaciasaddle.emulator._serve import run_server
+from acaciasaddle.emulator.soak import DEADLINE_S
 from acaciasaddle.emulator.soak import RecordFile
 from acaciasaddle.emulator.soak import SoakOptions
 from acaciasaddle.emulator.soak import run_soak
@@ -35,6 +36,21 @@
     default=12.0,
     help="Seconds in which faults begin, except those that follow another of the same target.",
 )
+@click.option("--stops", is_flag=True, help="Let all faults be planned stops of hosts.")
+@click.option(
+    "--slow-share",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    help="Share of the runs that take 0.5 to 2.5 s instead of about 20 ms.",
+)
+@click.option("--slots", type=click.IntRange(min=1), default=2, help="Slots of each upstream.")
+@click.option(
+    "--deadline",
+    type=click.FloatRange(min=0.1),
+    default=DEADLINE_S,
+    show_default=True,
+    help="Deadline of the callers' requests in seconds.",
+)
 @click.option(
     "--directory",
     type=click.Path(path_type=Path, file_okay=False),
@@ -48,6 +64,10 @@
     callers: int,
     faults: int,
     within: float,
+    stops: bool,
+    slow_share: float,
+    slots: int,
+    deadline: float,
     directory: Path | None,
 ) -> None:
     """Run nodes, a store and upstreams under faults drawn from a seed.
@@ -68,6 +88,10 @@
             callers=callers,
             faults=faults,
             fault_window_s=within,
+            only_stops=stops,
+            slow_share=slow_share,
+            slots=slots,
+            deadline_s=deadline,
         )
         if not _run_one(options, directory):
             failed_seeds.append(current_seed)
--- a/src/acaciasaddle/emulator/soak/__init__.py
+++ b/src/acaciasaddle/emulator/soak/__init__.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from acaciasaddle.emulator.soak._callers import DEADLINE_S
 from acaciasaddle.emulator.soak._checks import Finding
 from acaciasaddle.emulator.soak._checks import check_records
 from acaciasaddle.emulator.soak._faults import Fault
 from acaciasaddle.emulator.soak._faults import draw_faults
+from acaciasaddle.emulator.soak._faults import draw_stops
 from acaciasaddle.emulator.soak._records import RecordFile
 from acaciasaddle.emulator.soak._relay import Relay
 from acaciasaddle.emulator.soak._relay import RelayFaults
@@ -14,6 +16,7 @@
 from acaciasaddle.emulator.soak._run import run_soak
 
 __all__ = [
+    "DEADLINE_S",
     "Fault",
     "Finding",
     "RecordFile",
@@ -23,5 +26,6 @@
     "SoakResult",
     "check_records",
     "draw_faults",
+    "draw_stops",
     "run_soak",
 ]
--- a/src/acaciasaddle/emulator/soak/_callers.py
+++ b/src/acaciasaddle/emulator/soak/_callers.py
@@ -38,7 +38,8 @@
     it was closed.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, deadline_s: float = DEADLINE_S) -> None:
+        self._deadline_s = deadline_s
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._origin = httpcore.Origin(b"http", host.encode(), self._port)
@@ -54,7 +55,7 @@
         length = [(b"Content-Length", str(len(body)).encode())] if body else []
         req = httpcore.Request(method, url, headers=headers + length, content=body)
         try:
-            with trio.fail_after(DEADLINE_S + EXTRA_WAIT_S):
+            with trio.fail_after(self._deadline_s + EXTRA_WAIT_S):
                 if self._conn is None or not self._conn.is_available():
                     await self.aclose()
                     self._conn = httpcore.AsyncHTTP11Connection(
@@ -83,6 +84,7 @@
     seed: int,
     running_hosts: Callable[[], dict[str, str]],
     records: RecordFile,
+    deadline_s: float = DEADLINE_S,
 ) -> None:
     """Send requests as one caller until cancelled.
 
@@ -98,13 +100,15 @@
             continue
         host_id = rng.choice(sorted(addresses))
         address = addresses[host_id]
-        conn = conns.setdefault(address, Connection(address=address))
+        conn = conns.setdefault(address, Connection(address=address, deadline_s=deadline_s))
         sent += 1
         request_id = f"{number}-{sent}"
         once = rng.random() < DEPOSIT_SHARE
         key = rng.randrange(HOT_KEY_COUNT if rng.random() < HOT_SHARE else KEY_COUNT)
         started = time.monotonic()
-        resp = await send_request(conn, request_id=request_id, key=key, once=once)
+        resp = await send_request(
+            conn, request_id=request_id, key=key, once=once, deadline_s=deadline_s
+        )
         records.add(
             "attempt",
             id=request_id,
@@ -118,11 +122,11 @@
 
 
 async def send_request(
-    conn: Connection, *, request_id: str, key: int, once: bool
+    conn: Connection, *, request_id: str, key: int, once: bool, deadline_s: float = DEADLINE_S
 ) -> httpcore.Response | None:
     """Send a deposit if ``once`` is set, otherwise a read; return the response as ``send`` does."""
     target = f"{DEPOSIT_PREFIX if once else READ_PREFIX}{request_id}"
-    headers = caller_headers(request_id=request_id, key=key, deadline_s=DEADLINE_S)
+    headers = caller_headers(request_id=request_id, key=key, deadline_s=deadline_s)
     return await conn.send("POST" if once else "GET", target, headers, _body(request_id, once))
 
 
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import replace
@@ -14,6 +15,15 @@
 
 Record = dict[str, Any]
 
+GRACE_S = 6.0
+"""Time between the signal to stop and a kill, as in the node's settings."""
+STOP_LIMIT_S = GRACE_S + 1.0
+EARLY_S = 3.0
+"""A request that was sent within this time of the signal may be broken off in the last sixth of the
+grace time, if its upstream is still at work on it."""
+UNREAD_S = 0.2
+"""A request that reached no upstream and whose connection closes later than this was read."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Finding:
@@ -33,7 +43,12 @@
 
 def check_records(records: Sequence[Record]) -> list[Finding]:
     """Return the broken promises. The records must be sorted by time."""
-    return [*_check_ownership(records), *_check_runs(records), *_check_responses(records)]
+    return [
+        *_check_ownership(records),
+        *_check_runs(records),
+        *_check_responses(records),
+        *_check_stops(records),
+    ]
 
 
 def _check_ownership(records: Sequence[Record]) -> Iterator[Finding]:
@@ -131,3 +146,36 @@
         if record["kind"] == "attempt" and record["outcome"] == "foreign":
             detail = f"{record['id']}: status {record['status']} from {record['host']}"
             yield Finding(rule="foreign-answer", detail=detail)
+
+
+def _check_stops(records: Sequence[Record]) -> Iterator[Finding]:
+    """Find requests that a host took and left without an answer because of a planned stop."""
+    stops: dict[str, list[float]] = defaultdict(list)
+    runs: dict[str, list[float]] = defaultdict(list)
+    ended: dict[str, Any] = {}
+    for record in records:
+        if record["kind"] == "signalled" and record["signum"] == signal.SIGTERM:
+            stops[record["name"]].append(record["at"])
+        elif record["kind"] == "run":
+            runs[record["id"]].append(record["at"])
+        elif record["kind"] == "ended":
+            ended[record["id"]] = record["at"]
+    for record in records:
+        if record["kind"] != "attempt" or record["status"]:
+            continue
+        sent, closed, request_id = record["started"], record["at"], record["id"]
+        if request_id not in runs and closed - sent <= UNREAD_S:
+            continue
+        for stopped_at in stops[record["host"]]:
+            if not stopped_at <= closed <= stopped_at + STOP_LIMIT_S:
+                continue
+            at_work_until: float = ended.get(request_id) or closed
+            at_work = at_work_until > stopped_at + GRACE_S * 5 / 6
+            if request_id in runs and sent <= stopped_at + EARLY_S and at_work:
+                continue
+            detail = (
+                f"{request_id}: sent {sent - stopped_at:.2f} s after the signal to "
+                f"{record['host']}, closed at {closed - stopped_at:.2f} s, "
+                f"{len(runs.get(request_id, ()))} runs"
+            )
+            yield Finding(rule="lost-at-stop", detail=detail)
--- a/src/acaciasaddle/emulator/soak/_faults.py
+++ b/src/acaciasaddle/emulator/soak/_faults.py
@@ -76,6 +76,18 @@
     return sorted(faults, key=lambda fault: (fault.at_s, fault.target))
 
 
+def draw_stops(*, seed: int, count: int, window_s: float, hosts: list[str]) -> list[Fault]:
+    """Return ``count`` planned stops of hosts within the window, of one or two hosts at a time."""
+    rng = random.Random(f"stops/{seed}")
+    stops: list[Fault] = []
+    while len(stops) < count:
+        at_s = rng.uniform(0.0, window_s)
+        for host in rng.sample(hosts, min(rng.randint(1, 2), len(hosts))):
+            length_s = rng.uniform(MIN_LENGTH_S, 1.0)
+            stops.append(Fault(at_s=at_s, length_s=length_s, target=host, name="stop"))
+    return sorted(stops[:count], key=lambda fault: (fault.at_s, fault.target))
+
+
 def _draw_target(
     rng: random.Random, hosts: list[str], upstreams: list[str]
 ) -> tuple[str, tuple[str, ...]]:
--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -22,6 +22,7 @@
 from acaciasaddle.emulator._json_http import request_json
 from acaciasaddle.emulator.soak._records import RecordFile
 from acaciasaddle.emulator.soak._relay import Relay
+from acaciasaddle.platform.standins import ROUTE_TIMEOUT_S
 from acaciasaddle.platform.standins import SERVICE
 from acaciasaddle.platform.standins import UpstreamSettings
 from acaciasaddle.platform.standins import configuration_value
@@ -60,6 +61,9 @@
     nursery: trio.Nursery
     node_args: tuple[str, ...] = NODE_ARGS
     fail_share: float = 0.0
+    slow_share: float = 0.0
+    slots: int = 2
+    route_timeout_s: float = ROUTE_TIMEOUT_S
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     host_addresses: dict[str, str] = field(default_factory=dict)
     readiness_addresses: dict[str, str] = field(default_factory=dict)
@@ -89,6 +93,8 @@
             address=await self.nursery.start(relay.run),
             store_address=self.store_address,
             fail_share=self.fail_share,
+            slow_share=self.slow_share,
+            slots=self.slots,
         )
         path = self.directory / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -176,6 +182,7 @@
         process = managed.process
         assert process is not None
         managed.should_run = False
+        self.records.add("signalled", name=name, signum=int(signum))
         self._signal(name, signum)
         with trio.move_on_after(STOP_LIMIT_S) as waiting:
             await process.wait()
@@ -212,7 +219,9 @@
         self.configuration_version += 3
         self.extra_routes += 1
         value = configuration_value(
-            version=self.configuration_version, extra_routes=self.extra_routes
+            version=self.configuration_version,
+            extra_routes=self.extra_routes,
+            timeout_s=self.route_timeout_s,
         )
         await self.control_store("configuration", value)
 
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -13,6 +13,7 @@
 import trio
 
 from acaciasaddle.emulator._fleet import FleetError
+from acaciasaddle.emulator.soak._callers import DEADLINE_S
 from acaciasaddle.emulator.soak._callers import KEY_COUNT
 from acaciasaddle.emulator.soak._callers import Connection
 from acaciasaddle.emulator.soak._callers import classify_outcome
@@ -26,12 +27,15 @@
 from acaciasaddle.emulator.soak._faults import STORE_FAULTS
 from acaciasaddle.emulator.soak._faults import Fault
 from acaciasaddle.emulator.soak._faults import draw_faults
+from acaciasaddle.emulator.soak._faults import draw_stops
 from acaciasaddle.emulator.soak._processes import NODE_ARGS
 from acaciasaddle.emulator.soak._processes import Deployment
 from acaciasaddle.emulator.soak._records import RecordFile
 from acaciasaddle.emulator.soak._records import read_records
 from acaciasaddle.emulator.soak._relay import RelayFaults
 from acaciasaddle.observe import get_logger
+from acaciasaddle.platform.standins import ROUTE_TIMEOUT_S
+from acaciasaddle.platform.standins import SLOW_WORK_S
 from acaciasaddle.platform.standins import caller_headers
 from acaciasaddle.platform.standins import extra_path
 
@@ -48,6 +52,7 @@
 active during the check, so every host can reach the store."""
 PROBED_KEY_COUNT = 32
 PROBE_PAUSE_S = 0.1
+"""Pause after a probe that was not served. The probes of one host follow one another."""
 
 log = get_logger("soak")
 
@@ -60,10 +65,12 @@
     fault of the same target may begin later.
 
     ``fixed_faults`` replace the faults drawn from the seed. ``fail_share`` is the share of the
-    upstreams' runs that end in each of the three ways that ``standins.UpstreamSettings`` lists.
+    upstreams' runs that end in each of the three ways that ``standins.UpstreamSettings`` lists,
+    ``slow_share`` that of their slow runs, and ``slots`` the number of runs at a time. If
+    ``only_stops`` is true, all faults are planned stops of hosts.
     ``node_args`` are the interpreter's arguments that run a node, before the path of its settings.
     ``recovery_limit_s`` is the time in which each host must serve the probed keys after the start
-    and after the faults.
+    and after the faults, besides the time that slow runs take.
     """
 
     seed: int
@@ -75,8 +82,17 @@
     node_args: tuple[str, ...] = NODE_ARGS
     fixed_faults: tuple[Fault, ...] = ()
     fail_share: float = FAIL_SHARE
+    slow_share: float = 0.0
+    slots: int = 2
+    deadline_s: float = DEADLINE_S
+    only_stops: bool = False
     recovery_limit_s: float = RECOVERY_LIMIT_S
 
+    @property
+    def probe_limit_s(self) -> float:
+        """Time in which one host must have served all probes."""
+        return self.recovery_limit_s + PROBED_KEY_COUNT * self.slow_share * SLOW_WORK_S[1]
+
 
 @dataclass(slots=True, kw_only=True)
 class SoakResult:
@@ -99,14 +115,7 @@
     hosts = [f"host-{index + 1}" for index in range(options.hosts)]
     upstreams = [f"u{index + 1}" for index in range(options.upstreams)]
     result = SoakResult(
-        faults=list(options.fixed_faults)
-        or draw_faults(
-            seed=options.seed,
-            count=options.faults,
-            window_s=options.fault_window_s,
-            hosts=hosts,
-            upstreams=upstreams,
-        )
+        faults=list(options.fixed_faults) or _draw(options, hosts=hosts, upstreams=upstreams)
     )
     records = RecordFile(path=directory / "soak.records")
     async with trio.open_nursery() as nursery:
@@ -116,11 +125,14 @@
             nursery=nursery,
             node_args=options.node_args,
             fail_share=options.fail_share,
+            slow_share=options.slow_share,
+            slots=options.slots,
+            route_timeout_s=max(options.deadline_s, ROUTE_TIMEOUT_S),
         )
         nursery.start_soon(_fail_on_signal)
         try:
             await deployment.start(hosts=hosts, upstreams=upstreams)
-            await _wait_for_recovery(deployment, result, "start", options.recovery_limit_s)
+            await _wait_for_recovery(deployment, result, "start", options.probe_limit_s)
             with trio.CancelScope() as load_scope:
                 async with trio.open_nursery() as caller_nursery:
                     for number in range(options.callers):
@@ -131,12 +143,11 @@
                                 seed=options.seed,
                                 running_hosts=deployment.running_hosts,
                                 records=records,
+                                deadline_s=options.deadline_s,
                             )
                         )
                     await _inject_faults(deployment, result)
-                    await _wait_for_recovery(
-                        deployment, result, "recovery", options.recovery_limit_s
-                    )
+                    await _wait_for_recovery(deployment, result, "recovery", options.probe_limit_s)
                     load_scope.cancel()
             result.findings += [
                 Finding(rule="exited", detail=text) for text in deployment.unexpected_exits()
@@ -154,6 +165,13 @@
     return result
 
 
+def _draw(options: SoakOptions, *, hosts: list[str], upstreams: list[str]) -> list[Fault]:
+    seed, count, window_s = options.seed, options.faults, options.fault_window_s
+    if options.only_stops:
+        return draw_stops(seed=seed, count=count, window_s=window_s, hosts=hosts)
+    return draw_faults(seed=seed, count=count, window_s=window_s, hosts=hosts, upstreams=upstreams)
+
+
 async def _fail_on_signal() -> None:
     """Raise ``FleetError`` on SIGTERM or SIGINT, which ends the soak and all its processes."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/acaciasaddle/forward/__init__.py
+++ b/src/acaciasaddle/forward/__init__.py
@@ -8,6 +8,7 @@
 from acaciasaddle.forward._budget import BudgetLimits
 from acaciasaddle.forward._budget import RepeatBudget
 from acaciasaddle.forward._forwarder import Forwarder
+from acaciasaddle.forward._stop import PlannedStop
 from acaciasaddle.forward._types import CallerRequest
 from acaciasaddle.forward._types import CallerResponse
 from acaciasaddle.forward._types import Dialect
@@ -19,6 +20,7 @@
     "CallerResponse",
     "Dialect",
     "Forwarder",
+    "PlannedStop",
     "RecentArrivals",
     "RepeatBudget",
     "RequestMetadata",
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -38,6 +38,7 @@
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.fleet import UpstreamEntry
     from acaciasaddle.forward._budget import RepeatBudget
+    from acaciasaddle.forward._stop import PlannedStop
     from acaciasaddle.forward._types import Dialect
     from acaciasaddle.http1 import RawHeaders
     from acaciasaddle.http1 import Response
@@ -56,6 +57,8 @@
 this in all. A move that has already taken longer is probably waiting for a lease to end, so
 requests for its keys are refused at once."""
 NO_CONFIGURATION_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.0
+"""Another host can serve the request at once; ``MIN_RETRY_AFTER_S`` applies."""
 NO_UPSTREAM_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
@@ -135,6 +138,11 @@
         self._recent_arrivals = RecentArrivals()
         self._reported_busy: dict[str, int] = {}
         self.total_busy: Callable[[], dict[str, int]] = dict
+        self._stop: PlannedStop | None = None
+
+    def note_stop(self, stop: PlannedStop) -> None:
+        """Refuse requests from now on that the stop of this host might break off."""
+        self._stop = stop
 
     def take_samples(self) -> list[LoadSample]:
         """Return the load samples taken since the last call."""
@@ -295,6 +303,14 @@
         busy = self._busy_at(upstream.upstream_id)
         slot_s = self._slot_times.of(upstream.upstream_id)
         route = pending.route
+        expected_s = expected_response_s(slot_s=slot_s, busy=busy, slots=upstream.slots)
+        if self._stop is not None and not self._stop.allows(
+            now=now,
+            request_ends_at=pending.ends_at + RESPONSE_GRACE_S,
+            expected_s=expected_s,
+            repeatable=pending.repeatable,
+        ):
+            raise _refused("this host stops", STOPPING_RETRY_S, "choose")
         yields = route.bulky and self._recent_arrivals.has_more_urgent(
             pending.service.name, route.rank
         )
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -152,7 +152,7 @@
                         break
                     log.info("SIGHUP received; settings are only read at start")
                 log.info("stopping on signal", signal=signum)
-                self.listener.announce_stop()
+                self.forwarder.note_stop(self.listener.announce_stop())
                 self.kernel.shutdown()
 
     def _limits(self) -> CallerLimits:
--- a/src/acaciasaddle/platform/standins/__init__.py
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -5,12 +5,14 @@
 from acaciasaddle.platform.standins._messages import DEPOSIT_PREFIX
 from acaciasaddle.platform.standins._messages import NOT_RUN_STATUSES
 from acaciasaddle.platform.standins._messages import READ_PREFIX
+from acaciasaddle.platform.standins._messages import ROUTE_TIMEOUT_S
 from acaciasaddle.platform.standins._messages import SERVICE
 from acaciasaddle.platform.standins._messages import caller_headers
 from acaciasaddle.platform.standins._messages import configuration_value
 from acaciasaddle.platform.standins._messages import extra_path
 from acaciasaddle.platform.standins._store_app import StoreApp
 from acaciasaddle.platform.standins._store_app import StoreFaults
+from acaciasaddle.platform.standins._upstream_app import SLOW_WORK_S
 from acaciasaddle.platform.standins._upstream_app import UpstreamApp
 from acaciasaddle.platform.standins._upstream_app import UpstreamSettings
 from acaciasaddle.platform.standins._upstream_app import is_own_response
@@ -19,7 +21,9 @@
     "DEPOSIT_PREFIX",
     "NOT_RUN_STATUSES",
     "READ_PREFIX",
+    "ROUTE_TIMEOUT_S",
     "SERVICE",
+    "SLOW_WORK_S",
     "StoreApp",
     "StoreFaults",
     "UpstreamApp",
--- a/src/acaciasaddle/platform/standins/_messages.py
+++ b/src/acaciasaddle/platform/standins/_messages.py
@@ -16,7 +16,12 @@
 """Statuses with which the router guarantees that the request has not run and never will."""
 
 
-def configuration_value(*, version: int, extra_routes: int) -> dict[str, Any]:
+ROUTE_TIMEOUT_S = 3.0
+
+
+def configuration_value(
+    *, version: int, extra_routes: int, timeout_s: float = ROUTE_TIMEOUT_S
+) -> dict[str, Any]:
     """Return an operator's configuration with a read route, a deposit route and extra routes.
 
     The paths of the extra routes begin with ``/extra-0/``, ``/extra-1/`` and so on.
@@ -28,7 +33,7 @@
             "name": prefix.strip("/"),
             "prefix": prefix,
             "routeType": route_type,
-            "timeoutS": 3.0,
+            "timeoutS": timeout_s,
             "targetLatencyS": 0.5,
             "maxAttempts": 3,
             "priority": priority,
--- a/src/acaciasaddle/platform/standins/_upstream_app.py
+++ b/src/acaciasaddle/platform/standins/_upstream_app.py
@@ -36,6 +36,8 @@
 PAUSE_THRESHOLD_S = 0.5
 """A process that has not run for longer than this counts as having been paused."""
 DEFAULT_DEADLINE_MS = 10_000.0
+SLOW_WORK_S = (0.5, 2.5)
+"""Shortest and longest time of a slow run."""
 
 log = get_logger("upstream-stand-in")
 
@@ -46,7 +48,8 @@
     ``address`` is where nodes reach it, directly or through a relay. At most ``slots`` requests run
     at the same time, and at most ``queue`` wait for a slot. ``fail_share`` is the share of the runs
     that end in each of three ways: without a response, with status 500, or with a response after
-    which the connection is closed.
+    which the connection is closed. ``slow_share`` is the share of the runs that take
+    ``SLOW_WORK_S``.
     """
 
     upstream_id: str
@@ -59,6 +62,7 @@
     work_s: float = 0.02
     drain_s: float = 2.0
     fail_share: float = 0.0
+    slow_share: float = 0.0
 
 
 @dataclass(eq=False, slots=True, kw_only=True)
@@ -231,12 +235,12 @@
         await self._respond(exchange, request_id, body, succeeded=succeeded)
 
     async def _run_until_done(self, run: _Run) -> bool:
-        """Run for 0.5 to 1.5 times ``work_s`` and return whether the upstream may report success.
+        """Run for the time of ``_draw_work_s`` and return whether the upstream may report success.
 
         The key must be owned until the end of the run, unless a release of the key waits for the
         run. If the lease expires, the run ends at once.
         """
-        ends_at = trio.current_time() + self._settings.work_s * self._random.uniform(0.5, 1.5)
+        ends_at = trio.current_time() + self._draw_work_s()
         while (remaining_s := ends_at - trio.current_time()) > 0:
             if not run.release_waiting:
                 remaining_s = min(remaining_s, self._lease_ends[run.key] - time.monotonic())
@@ -245,6 +249,12 @@
             await trio.sleep(remaining_s)
         return run.release_waiting or self._owns(run.key)
 
+    def _draw_work_s(self) -> float:
+        """Return 0.5 to 1.5 times ``work_s``, or the time of a slow run."""
+        if self._settings.slow_share and self._random.random() < self._settings.slow_share:
+            return self._random.uniform(*SLOW_WORK_S)
+        return self._settings.work_s * self._random.uniform(0.5, 1.5)
+
     def _owns(self, key: int) -> bool:
         return time.monotonic() < self._lease_ends[key]
 
