Try again to listen while a port is taken

Seen by the users: processes that ended by themselves on real machines, without logs. Tried here as a possible cause: a port of the settings that an outgoing connection of another process was given.

Cause: the bind error ended the process, and again after each start.

Change: open_listening_socket tries again on errors that pass, logs every 5 s, and the host is not ready meanwhile. Signals are handled during the start, and a shutdown cancels a start in progress. An address that can never be used ends the process with one line instead of a traceback.

Evidence: a real process whose caller port was taken: exit code 1 before; with this change it runs, listens once the port is free, and stops with code 0. That the users' case was this one is not shown.

--- a/features/steps/kernel_steps.py
+++ b/features/steps/kernel_steps.py
@@ -12,6 +12,8 @@
 from acaciasaddle.kernel import Kernel
 from acaciasaddle.kernel import Service
 
+STOP_LIMIT_S = 5.0
+
 
 class RecordingService(Service):
     """Records its start and stop."""
@@ -19,8 +21,11 @@
     def __init__(self, *, label: str, events: list[str]) -> None:
         self.name = label  # type: ignore[misc]
         self._events = events
+        self.hangs = False
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        if self.hangs:
+            await trio.sleep_forever()
         self._events.append(f"start {self.name}")
         task_status.started()
         await trio.sleep_forever()
@@ -40,6 +45,25 @@
         for label in (first, second):
             context.kernel.add(RecordingService(label=label, events=context.events))
 
+    @staticmethod
+    @given('a kernel with the services "{first}" and "{second}", of which "{hanging}" never starts')
+    def build_with_hanging(context: Any, first: str, second: str, hanging: str) -> None:
+        KernelSteps.build(context, first, second)
+        for svc in context.kernel:
+            svc.hangs = svc.name == hanging
+
+    @staticmethod
+    @when("the kernel runs and is shut down after {seconds:g} s")
+    def run_for(context: Any, seconds: float) -> None:
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(context.kernel.run)
+                await trio.sleep(seconds)
+                context.kernel.shutdown()
+                nursery.cancel_scope.deadline = trio.current_time() + STOP_LIMIT_S
+
+        trio.run(main)
+
     @staticmethod
     @when("the kernel runs and is shut down")
     def run(context: Any) -> None:
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
@@ -11,6 +10,8 @@
 from acaciasaddle.callers._connection import CallerConnection
 from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
+from acaciasaddle.kernel import open_listening_socket
+from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
@@ -91,11 +92,7 @@
 
         After ``close_idle``, return when the open connections have closed.
         """
-        host, _, port = self._address.rpartition(":")
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        await sock.bind((host, int(port)))
-        sock.listen(BACKLOG)
+        sock = await open_listening_socket(self._address, backlog=BACKLOG)
         task_status.started()
         async with trio.open_nursery() as nursery:
             with sock:
@@ -177,8 +174,8 @@
     def announce_stop(self) -> PlannedStop:
         """Report not ready, and announce to callers' connections that they are to close.
 
-        Return the time of the first announcement, at which the grace time starts. The stop of other
-        services is part of the grace time.
+        Return the stop, which begins with the first announcement. The stop of other services is
+        part of the grace time.
         """
         if self._planned_stop is None:
             self.draining = True
--- a/src/acaciasaddle/kernel/__init__.py
+++ b/src/acaciasaddle/kernel/__init__.py
@@ -4,5 +4,6 @@
 
 from acaciasaddle.kernel._kernel import Kernel
 from acaciasaddle.kernel._kernel import Service
+from acaciasaddle.kernel._listen import open_listening_socket
 
-__all__ = ["Kernel", "Service"]
+__all__ = ["Kernel", "Service", "open_listening_socket"]
--- a/src/acaciasaddle/kernel/_kernel.py
+++ b/src/acaciasaddle/kernel/_kernel.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self._services: dict[str, Service] = {}
         self._stop = trio.Event()
+        self._starting = trio.CancelScope()
 
     def add(self, svc: Service) -> None:
         """Register a service. Raises ``AcaciasaddleError`` if its name is already registered."""
@@ -58,16 +59,20 @@
         return iter(self._services.values())
 
     def shutdown(self) -> None:
-        """Ask ``run`` to stop all services and return."""
+        """Ask ``run`` to stop all services and return. A start in progress is cancelled."""
         self._stop.set()
+        self._starting.cancel()
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Run all services until ``shutdown`` is called, then stop them."""
+        """Run all services until ``shutdown`` is called, then stop those that have started."""
+        started: list[Service] = []
         async with trio.open_nursery() as nursery:
-            for svc in self:
-                await nursery.start(svc.run)
+            with self._starting:
+                for svc in self:
+                    await nursery.start(svc.run)
+                    started.append(svc)
             task_status.started()
             await self._stop.wait()
-            for svc in reversed(list(self)):
+            for svc in reversed(started):
                 await svc.stop()
             nursery.cancel_scope.cancel()
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -19,6 +19,7 @@
 from acaciasaddle.errors import PeerError
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.kernel import Service
+from acaciasaddle.kernel import open_listening_socket
 from acaciasaddle.keyspace import ROLE_LEASE_S
 from acaciasaddle.keyspace import LoadSample
 from acaciasaddle.links._changes import OwnersHistory
@@ -43,6 +44,7 @@
     from acaciasaddle.links._messages import OwnersPart
     from acaciasaddle.links._messages import RegistryPart
 
+BACKLOG = 512
 INTERVAL_S = 0.4
 """Time between two reports, and between two states if nothing changes."""
 MIN_STATE_PAUSE_S = 0.1
@@ -156,8 +158,8 @@
         return self._total_busy if self._coordinator.leading or self.linked() else {}
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        host, _, port = self._address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        sock = await open_listening_socket(self._address, backlog=BACKLOG)
+        listeners = [trio.SocketListener(sock)]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(trio.serve_listeners, self._serve_host, listeners)
             task_status.started()
--- a/src/acaciasaddle/node/__main__.py
+++ b/src/acaciasaddle/node/__main__.py
@@ -4,7 +4,9 @@
 
 import sys
 
+from acaciasaddle.errors import AcaciasaddleError
 from acaciasaddle.errors import ConfigError
+from acaciasaddle.errors import leaf_exceptions
 from acaciasaddle.node import run_node
 
 USAGE = "usage: python -m acaciasaddle.node SETTINGS"
@@ -20,6 +22,12 @@
     except ConfigError as exc:
         print(exc, file=sys.stderr)
         return 2
+    except BaseExceptionGroup as group:
+        expected, others = group.split(AcaciasaddleError)
+        if expected is None or others is not None:
+            raise
+        print(*leaf_exceptions(expected), sep="\n", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -145,8 +145,7 @@
         # Install the handlers first: without them a signal ends the process at once.
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self.kernel.run)
-                log.info("started", host=self._settings.host_id)
+                nursery.start_soon(self._run_services)
                 async for signum in signals:
                     if signum != signal.SIGHUP:
                         break
@@ -154,6 +153,11 @@
                 log.info("stopping on signal", signal=signum)
                 self.forwarder.note_stop(self.listener.announce_stop())
                 self.kernel.shutdown()
+    async def _run_services(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.kernel.run)
+            log.info("started", host=self._settings.host_id)
+
 
     def _limits(self) -> CallerLimits:
         cfg = self.view.configuration
