Start with the default of a limit that a deployment does not set

Seen in a test: settings rendered from the template with a missing value ("grace_s": , or null) are refused, so no process starts.

Change: a field that has a default may lack its value or be null.

--- a/features/node/settings.feature
+++ b/features/node/settings.feature
@@ -17,6 +17,18 @@
       | log_level        | "loud"      | $.log_level      |
       | bounds           | {"grace_s": 0} | $.bounds.grace_s |
 
+  Scenario Outline: a limit that the deployment does not set has its default
+    When the node's settings are read with the bounds <bounds>
+    Then the node's grace time is 6 s and its repeat ratio 0.2
+
+    Examples:
+      | bounds                                       |
+      | {"grace_s": , "repeat_ratio": }              |
+      | {"grace_s": null, "repeat_ratio": null}      |
+      | {"repeat_ratio":}                            |
+      | {}                                           |
+      | null                                         |
+
   Scenario Outline: weak hosts leave a free coordinator role to others for some time
     When the node's settings are read with capacity set to <capacity>
     Then the node takes a free coordinator role after <seconds> s
--- a/features/steps/node_settings_steps.py
+++ b/features/steps/node_settings_steps.py
@@ -80,6 +80,21 @@
         settings[field] = json.loads(value)
         NodeSettingsSteps._load(context, json.dumps(settings))
 
+    @staticmethod
+    @when("the node's settings are read with the bounds {text}")
+    def bounds(context: Any, text: str) -> None:
+        settings = json.loads(re.sub(r"^//.*$", "", _filled_template(), flags=re.MULTILINE))
+        del settings["bounds"]
+        content = json.dumps(settings).removesuffix("}")
+        NodeSettingsSteps._load(context, f'{content}, "bounds": {text}}}')
+
+    @staticmethod
+    @then("the node's grace time is {grace:g} s and its repeat ratio {ratio:g}")
+    def read_bounds(context: Any, grace: float, ratio: float) -> None:
+        assert not context.problems, context.problems
+        found = context.settings.bounds
+        assert (found.grace_s, found.repeat_ratio) == (grace, ratio), found
+
     @staticmethod
     @when("the node's settings are read from a missing file")
     def missing(context: Any) -> None:
--- a/src/acaciasaddle/node/_settings.py
+++ b/src/acaciasaddle/node/_settings.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import msgspec
@@ -93,15 +95,22 @@
     log_level: Literal["debug", "info", "warning"] = "info"
 
 
+_MISSING_VALUE = re.compile(r'("[a-z_]+":)(?=\s*[,}])')
+
+
 def load_node_settings(path: str | os.PathLike[str]) -> NodeSettings:
     """Read the settings of a node; unknown fields are ignored.
 
+    A field that has a default may be ``null`` or lack its value: the template renders nothing for a
+    limit that a deployment does not set.
+
     Raises ``ConfigError`` if the file cannot be read or a field is not valid.
     """
     source = str(path)
     try:
-        text = Path(path).read_text(encoding="utf-8")
-        return msgspec.json.decode(strip_comment_lines(text), type=NodeSettings)
+        text = strip_comment_lines(Path(path).read_text(encoding="utf-8"))
+        fields = msgspec.json.decode(_MISSING_VALUE.sub(r"\1 null", text))
+        return msgspec.convert(_without_nulls(fields, NodeSettings), type=NodeSettings)
     except OSError as exc:
         reason = exc.strerror or str(exc)
     except DECODING_ERRORS as exc:
@@ -112,3 +121,17 @@
         step="settings.load",
         peer=source,
     )
+
+
+def _without_nulls(fields: Any, struct: type[msgspec.Struct]) -> Any:
+    """Return the fields of a struct without those that are ``None`` and have a default."""
+    if not isinstance(fields, dict):
+        return fields
+    kept = dict(fields)
+    for field in msgspec.structs.fields(struct):
+        value = kept.get(field.name)
+        if value is None and not field.required:
+            kept.pop(field.name, None)
+        elif isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            kept[field.name] = _without_nulls(value, field.type)
+    return kept
