Read a source again after an unexpected error

Change: the reader logs it with the line of code, counts it (watcher.unexpected_errors) and reads again.

Evidence: node/watch.feature, "an unexpected error of one source"; it ended the watcher before.

--- a/features/node/watch.feature
+++ b/features/node/watch.feature
@@ -7,6 +7,12 @@
     When the watcher runs for 9 s
     Then the sources were called at most 40 times
 
+  Scenario: an unexpected error of one source ends neither the process nor the other sources
+    Given a watcher whose registry raises an unexpected error at first
+    When the watcher runs for 3 s
+    Then the registry and the configuration have been read
+    And the unexpected error has been counted
+
   Scenario: a source that is available again is read within a second
     Given a watcher whose sources refuse its calls
     When the watcher runs for 9 s
--- a/features/steps/node_watch_steps.py
+++ b/features/steps/node_watch_steps.py
@@ -33,6 +33,7 @@
         self.calls: Counter[str] = Counter()
         self.refusing = False
         self.changing_owners = False
+        self.registry_error: Exception | None = None
 
     async def _call(self, name: str) -> None:
         self.calls[name] += 1
@@ -43,6 +44,9 @@
     async def changes(self, *, since: int, wait_s: float | None = None) -> Any:
         if wait_s is None:
             await self._call("registry")
+            error, self.registry_error = self.registry_error, None
+            if error is not None:
+                raise error
             return RegistryChange(revision=1, complete=True, entries={})
         await self._call("configuration")
         if since:
@@ -73,6 +77,16 @@
     def refused(context: Any) -> None:
         WatcherSteps._set_up(context).refusing = True
 
+    @staticmethod
+    @given("a watcher whose registry raises an unexpected error at first")
+    def unexpected(context: Any) -> None:
+        WatcherSteps._set_up(context).registry_error = ZeroDivisionError("unexpected")
+
+    @staticmethod
+    @then("the unexpected error has been counted")
+    def counted(context: Any) -> None:
+        assert context.watcher.unexpected_errors == 1, context.watcher.unexpected_errors
+
     @staticmethod
     @given("a watcher whose owners change all the time")
     def changing_owners(context: Any) -> None:
@@ -100,7 +114,7 @@
         async def main() -> None:
             context.view = FleetView(clock=TrioClock(wall_offset=0.0))
             table: Any = sources
-            watcher = Watcher(
+            watcher = context.watcher = Watcher(
                 view=context.view,
                 configurations=sources,
                 registry=sources,
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import traceback
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -17,6 +16,7 @@
 
 from acaciasaddle.forward import CallerRequest
 from acaciasaddle.forward import CallerResponse
+from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
@@ -325,13 +325,6 @@
             raise trio.BrokenResourceError("the caller did not read the response in time")
 
 
-def describe_error(exc: BaseException) -> str:
-    """Return an unexpected error's type and message, and the line of code that raised it."""
-    frames = traceback.extract_tb(exc.__traceback__)
-    where = f" ({frames[-1].filename}:{frames[-1].lineno})" if frames else ""
-    return f"{exc!r}{where}"
-
-
 def _head_size(head: h11.Request) -> int:
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
     return len(head.method) + len(head.target) + fields
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -125,17 +125,16 @@
             servers=(*servers, readiness), callers=self.callers, grace_s=bounds.grace_s
         )
         self.kernel = Kernel()
-        self.kernel.add(
-            Watcher(
-                view=self.view,
-                configurations=PlatformConfigurations(store=store),
-                registry=PlatformRegistry(store=store),
-                table=table,
-                up_to_date=self.links.is_up_to_date,
-                configuration_up_to_date=self.links.configuration_is_up_to_date,
-                leading=lambda: self.coordinator.leading,
-            )
+        self.watcher = Watcher(
+            view=self.view,
+            configurations=PlatformConfigurations(store=store),
+            registry=PlatformRegistry(store=store),
+            table=table,
+            up_to_date=self.links.is_up_to_date,
+            configuration_up_to_date=self.links.configuration_is_up_to_date,
+            leading=lambda: self.coordinator.leading,
         )
+        self.kernel.add(self.watcher)
         self.kernel.add(self.links)
         self.kernel.add(self.listener)
         self.kernel.add(self.coordinator)
@@ -153,12 +152,12 @@
                 log.info("stopping on signal", signal=signum)
                 self.forwarder.note_stop(self.listener.announce_stop())
                 self.kernel.shutdown()
+
     async def _run_services(self) -> None:
         async with trio.open_nursery() as nursery:
             await nursery.start(self.kernel.run)
             log.info("started", host=self._settings.host_id)
 
-
     def _limits(self) -> CallerLimits:
         cfg = self.view.configuration
         return cfg.limits if cfg is not None else CallerLimits()
@@ -169,6 +168,7 @@
         gauges = {
             "callers.open_connections": float(self.callers.open_connections),
             "callers.unexpected_errors": float(self.callers.unexpected_errors),
+            "watcher.unexpected_errors": float(self.watcher.unexpected_errors),
             "links.hosts": float(self.links.hosts),
             "coordinator.leading": float(self.coordinator.leading),
             "coordinator.role_age_s": self.coordinator.role_age_s,
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -12,6 +12,7 @@
 from acaciasaddle.kernel import Service
 from acaciasaddle.keyspace import OWNERS_TABLE
 from acaciasaddle.keyspace import KeyMap
+from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self._read = read
         self._up_to_date = up_to_date
         self._unavailable = False
+        self.unexpected_errors = 0
 
     async def run(self, interval_s: float) -> None:
         since = 0
@@ -74,8 +76,13 @@
                 since = 0
                 await trio.sleep(RETRY_S)
                 continue
-            except PlatformError as exc:
-                if not self._unavailable:
+            except Exception as exc:
+                # Anything may stand in a source. What this host knows holds, and the other sources
+                # are read on, so an error that is not foreseen must not end the process either.
+                if not isinstance(exc, PlatformError):
+                    self.unexpected_errors += 1
+                    log.error("unexpected error", source=self._name, reason=describe_error(exc))
+                elif not self._unavailable:
                     log.warning("source unavailable", source=self._name, reason=str(exc))
                 self._unavailable = True
                 await trio.sleep(retry_s)
@@ -118,6 +125,12 @@
         self._configurations = configurations
         self._registry = registry
         self._table = table
+        self._readers: list[_SourceReader] = []
+
+    @property
+    def unexpected_errors(self) -> int:
+        """Number of unexpected errors of reads since the start."""
+        return sum(reader.unexpected_errors for reader in self._readers)
 
     async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         task_status.started()
@@ -128,6 +141,7 @@
                 ("registry", self._read_registry, REGISTRY_INTERVAL_S, self._up_to_date),
             ):
                 reader = _SourceReader(name=name, read=read, up_to_date=up_to_date)
+                self._readers.append(reader)
                 nursery.start_soon(reader.run, interval_s)
 
     def _owners_up_to_date(self) -> bool:
--- a/src/acaciasaddle/observe/__init__.py
+++ b/src/acaciasaddle/observe/__init__.py
@@ -6,6 +6,7 @@
 from acaciasaddle.observe._bounded import RateLimiter
 from acaciasaddle.observe._logs import configure_logging
 from acaciasaddle.observe._logs import configure_node_logging
+from acaciasaddle.observe._logs import describe_error
 from acaciasaddle.observe._logs import get_logger
 from acaciasaddle.observe._metrics import Metrics
 from acaciasaddle.observe._metrics import NullMetrics
@@ -21,5 +22,6 @@
     "StatsdMetrics",
     "configure_logging",
     "configure_node_logging",
+    "describe_error",
     "get_logger",
 ]
--- a/src/acaciasaddle/observe/_logs.py
+++ b/src/acaciasaddle/observe/_logs.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+import traceback
 from typing import Any
 from typing import TextIO
 from typing import cast
@@ -71,3 +72,10 @@
 def get_logger(part: str) -> Any:
     """Return a logger whose events begin with ``[part]``."""
     return structlog.get_logger(part=part)
+
+
+def describe_error(exc: BaseException) -> str:
+    """Return an unexpected error's type and message, and the line of code that raised it."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    where = f" ({frames[-1].filename}:{frames[-1].lineno})" if frames else ""
+    return f"{exc!r}{where}"
