Judge an outage of the registry by this host's own reads

Cause: a linked host's registry ages with the coordinator's; its first own read, which succeeds at once, was taken for the end of an outage, and a missing upstream was kept for 2.2 s. Ruled out: a late read; the host knows of the leaving 1.7 s after it.

Change: an outage needs a failed read of this host. The coordinator reports over links only what is registered.

Its scenarios on outages took an age alone for an outage, which was the fault; they now fail the host's reads, and others check that an age alone is none.

--- a/features/fleet_view/view.feature
+++ b/features/fleet_view/view.feature
@@ -19,7 +19,8 @@
     Then the view has "u1, u3"
 
   Scenario: an entry that expired during an outage is kept until it has had time to return
-    When after 8 s the registry has "u1, u3"
+    When reads of the registry fail
+    And after 8 s the registry has "u1, u3"
     Then the view has "u1, u2, u3"
     When after 1 s the registry has "u1, u3"
     Then the view has "u1, u2, u3"
@@ -27,12 +28,38 @@
     Then the view has "u1, u3"
 
   Scenario: an entry that returns after an outage stays
-    When after 8 s the registry has "u1, u3"
+    When reads of the registry fail
+    And after 8 s the registry has "u1, u3"
     And after 1 s the registry has "u1, u2, u3"
     And after 1 s the registry has "u1, u2, u3"
     And after 1 s the registry has "u1, u2, u3"
     Then the view has "u1, u2, u3"
 
+  Scenario: late news of a registry that this host did not fail to read is no outage
+    When after 1.7 s the registry has "u1, u3"
+    Then the view has "u1, u3"
+
+  Scenario: news after a failed read that was soon made good is no outage
+    When reads of the registry fail
+    And after 1 s the registry is reported unchanged
+    And after 1.7 s the registry has "u1, u3"
+    Then the view has "u1, u3"
+
+  Scenario: other hosts are not told that an upstream is registered that is missing after an outage
+    When reads of the registry fail
+    And after 8 s the registry has "u1, u3"
+    Then the view has "u1, u2, u3"
+    And other hosts are told of "u1, u3"
+    When after 1 s the registry has "u1, u2, u3"
+    Then other hosts are told of "u1, u2, u3"
+
+  Scenario: a complete read that is older than a link's news does not remove who joined since
+    When another host reports "u1, u2, u3, u4" as of revision 8
+    And at revision 7 the registry has "u1, u2, u3"
+    Then the view has "u1, u2, u3, u4"
+    When at revision 9 the registry has "u1, u2, u3"
+    Then the view has "u1, u2, u3"
+
   Scenario: an entry of an earlier incarnation does not replace a later one
     When "u2" registers with the start time 9
     And "u2" registers with the start time 1
@@ -44,7 +71,8 @@
     Then the owners have version 3
 
   Scenario: an upstream that is missing after an outage is removed also if nothing else changes
-    When after 8 s the registry has "u1, u3"
+    When reads of the registry fail
+    And after 8 s the registry has "u1, u3"
     And after 2.5 s the registry is reported unchanged
     Then the view has "u1, u3"
 
--- a/features/steps/fleet_view_steps.py
+++ b/features/steps/fleet_view_steps.py
@@ -80,6 +80,17 @@
         entries = {name: _entry(name) for name in names.split(", ")}
         context.view.apply_registry(RegistryChange(revision=1, complete=True, entries=entries))
 
+    @staticmethod
+    @when("reads of the registry fail")
+    def reads_fail(context: Any) -> None:
+        context.view.note_registry_failure()
+
+    @staticmethod
+    @then('other hosts are told of "{names}"')
+    def told(context: Any, names: str) -> None:
+        found = ", ".join(sorted(context.view.registered))
+        assert found == names, found
+
     @staticmethod
     @when("after {pause:g} s the registry is reported unchanged")
     def unchanged(context: Any, pause: float) -> None:
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -23,8 +23,8 @@
 REMOVAL_MEMORY_S = 30.0
 """A removal is remembered for this long. Links report what was read a few seconds ago at most."""
 OUTAGE_S = 1.5
-"""A registry that was not read for this long is taken to have had an outage: one to three reads in
-a row have failed, depending on how long each took."""
+"""A registry is taken to have had an outage if it was not read for this long and this host's own
+reads failed meanwhile. In a shorter one no entry expires, since upstreams may miss two reports."""
 
 log = get_logger("fleet")
 
@@ -51,6 +51,8 @@
         self.registry_revision = 0
         self.granted: set[tuple[str, int]] = set()
         self._missing_since: dict[str, float] = {}
+        # Whether a read of the registry by this host has failed since the last news of it.
+        self._reads_failed = False
         self._moving_since: dict[tuple[str, int], float] = {}
         # Revision and time at which each upstream was last seen to be removed.
         self._removals: dict[str, tuple[int, float]] = {}
@@ -67,6 +69,16 @@
             return None
         return round(self._clock.now() - self.registry_read_at, 3)
 
+    @property
+    def registered(self) -> dict[str, UpstreamEntry]:
+        """The upstreams without those that are missing since an outage.
+
+        Other hosts are told of these only. Whether one is kept that is missing, each host decides
+        by its own reads: an outage of one host is none for the others.
+        """
+        missing = self._missing_since
+        return {name: entry for name, entry in self.upstreams.items() if name not in missing}
+
     def upstreams_of(self, service: str) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
         return [
@@ -130,24 +142,32 @@
         report what it read before.
 
         Upstreams that are missing after an outage are removed by the first call that comes more
-        than ``RETURN_LIMIT_S`` later, if they have not returned.
+        than ``RETURN_LIMIT_S`` later, if they have not returned. A complete read that is older than
+        the newest news removes nothing, since an upstream that it lacks may have joined since.
         """
         now = self._clock.now()
-        after_outage = self.registry_read_at is not None and now - self.registry_read_at > OUTAGE_S
+        after_outage = (
+            self._reads_failed
+            and self.registry_read_at is not None
+            and now - self.registry_read_at > OUTAGE_S
+        )
+        self._reads_failed = False
         self.registry_read_at = now - age_s
+        is_newest = change.revision >= self.registry_revision
         self.registry_revision = max(self.registry_revision, change.revision)
         removed = {name for name, entry in change.entries.items() if entry is None}
-        if change.complete:
+        if change.complete and is_newest:
             removed |= self.upstreams.keys() - change.entries.keys()
         for problem in change.problems:
             log.warning("registry entry not usable", reason=problem)
         changed = False
         for name, entry in change.entries.items():
             if entry is not None and not self._is_outdated(name, change.revision):
-                self._missing_since.pop(name, None)
+                changed |= self._missing_since.pop(name, None) is not None
                 changed |= self._put_entry(entry)
         for name in removed & self.upstreams.keys():
             if after_outage:
+                changed |= name not in self._missing_since
                 self._missing_since.setdefault(name, now)
             elif name not in self._missing_since:
                 changed |= self._remove(name, "removed")
@@ -158,10 +178,15 @@
     def note_registry_read(self, *, age_s: float) -> None:
         """Note that the registry was read ``age_s`` seconds ago without changes."""
         now = self._clock.now()
+        self._reads_failed = False
         self.registry_read_at = now - age_s
         if self._remove_missing(now):
             self._note_registry_change()
 
+    def note_registry_failure(self) -> None:
+        """Note that a read of the registry by this host has failed."""
+        self._reads_failed = True
+
     def _remove_missing(self, now: float) -> bool:
         """Remove upstreams that have not returned after an outage; return whether there are any."""
         changed = False
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -290,7 +290,7 @@
         registry_age_s = self._age(self._view.registry_read_at)
         if sent.registry_serial != self._view.registry_serial and registry_age_s < MAX_AGE_S:
             sent.registry_serial = self._view.registry_serial
-            registry = sent.registry.advance(self._view.upstreams)
+            registry = sent.registry.advance(self._view.registered)
         parts: list[OwnersPart] = []
         for service, owners in self._view.owners.items():
             history = self._owner_histories.setdefault(service, OwnersHistory(service=service))
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -165,6 +165,12 @@
         return scan.revision
 
     async def _read_registry(self, since: int) -> int:
-        change = await self._registry.changes(since=since)
+        try:
+            change = await self._registry.changes(since=since)
+        except HistoryExpiredError:
+            raise
+        except PlatformError:
+            self._view.note_registry_failure()
+            raise
         self._view.apply_registry(change)
         return change.revision
