--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -128,6 +128,72 @@
     Then the caller gets 200 "done"
     And upstreams got 2 requests
 
+  Scenario: an owner that asked to wait gets no request before, and its caller is told how long
+    Given upstream "u1" of the keyed service answers "full for 5 s, ok"
+    And "u1" owns all keys
+    When two lookups are forwarded one after the other
+    Then the caller gets 503 ""
+    And the caller is told to retry in 4.5 to 6.5 s
+    And upstreams got 1 requests
+    And the counter "forward.blocked.asked_to_wait" is 2
+
+  Scenario: a request is held while its owner asked for a pause that its deadline allows
+    Given upstream "u1" of the keyed service answers "full for 0.1 s, ok"
+    And "u1" owns all keys
+    When a booking with key 77 is forwarded
+    Then the caller gets 200 "done"
+    And the caller waited between 0.1 and 0.4 s
+    And upstreams got 2 requests
+
+  Scenario Outline: an upstream that asked to wait gets no request while others take the work
+    Given upstream "u1" of the open service answers "<answer>, ok"
+    And upstream "u2" of the open service answers "ok"
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+    And upstream "u1" got 1 requests
+
+    Examples:
+      | answer           |
+      | full for 5 s     |
+      | bare 503 for 5 s |
+
+  Scenario: no upstream is sent to if all of a service asked to wait
+    Given upstream "u1" of the open service answers "full for 5 s, ok"
+    And upstream "u2" of the open service answers "full for 5 s, ok"
+    When two lookups are forwarded one after the other
+    Then the caller gets 503 ""
+    And the caller is told to retry in 4.5 to 6.5 s
+    And the caller waited between 0 and 0.05 s
+    And upstreams got 2 requests
+
+  Scenario: an upstream that says in an answer that it leaves gets no further request
+    Given upstream "u1" of the open service answers "leaving, ok"
+    And upstream "u2" of the open service answers "ok"
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+    And upstream "u1" got 1 requests
+    And upstream "u2" got 1 requests
+
+  Scenario: requests are refused at once when all upstreams of the service leave
+    Given upstream "u1" of the open service answers "leaving, ok"
+    When two lookups are forwarded one after the other
+    Then the caller gets 503 ""
+    And the caller is told when to retry
+    And the caller waited between 0 and 0.05 s
+
+  Scenario: keys of an owner that just said that it leaves are served there until they move
+    Given upstream "u1" of the keyed service answers "leaving, leaving"
+    And "u1" owns all keys
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+
+  Scenario: what another upstream at the address says of itself does not concern the owner
+    Given upstream "u1" of the open service answers "other one leaving, ok"
+    And upstream "u2" of the open service answers "ok"
+    When two lookups are forwarded one after the other
+    Then the caller gets 200 "done"
+    And no upstream is known to leave
+
   Scenario: a request is not sent again to an owner without free slots
     Given upstream "u1" of the keyed service answers "full, ok"
     And "u1" owns all keys
--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -17,6 +17,10 @@
       | lost-at-stop          | a request sent 3.1 s after a stop and cut    | a request sent 2.9 s after a stop and cut |
       | lost-at-stop          | a running request cut 4 s after a stop       | a request answered 4 s after a stop     |
       | lost-at-stop          | a request without a run, closed after 0.5 s  | a request without a run, closed at once |
+      | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 1.9 s after a leaving answer |
+      | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 2.1 s after it to a later start |
+      | sent-in-pause         | three requests in the rest of a pause        | two requests in the rest of a pause     |
+      | sent-in-pause         | three requests in the rest of a pause        | three requests within 0.5 s of it       |
       | foreign-answer        | a response to another request                | a completed request that ran            |
 
   Scenario: a seed always gives the same faults, and those of one target do not overlap
--- a/features/soak/runs.feature
+++ b/features/soak/runs.feature
@@ -16,9 +16,19 @@
       | grants only half of the keys       | no faults                 | unserved           |
       | ignores configuration changes      | a change of configuration | configuration-late |
       | does not stop                      | no faults                 | does-not-stop      |
+      | ignores upstreams that leave       | an upstream that leaves quietly | used-after-leaving |
+      | ignores upstreams that ask to wait | upstreams that ask to wait | sent-in-pause      |
       | ends when the store fails          | a store that fails        | exited             |
     Then the soak reports the rule that each defect breaks
 
+  Scenario: upstreams that leave and ask to wait get no request that they do not want
+    When the soak runs beside upstreams that leave quietly and ask to wait
+    Then the soak has no finding, and at least 100 requests were completed
+
+  Scenario: a planned stop leaves no request without an answer, however slow the work is
+    When the soak runs with seed 1 and 4 planned stops within 8 s under slow work
+    Then the soak has no finding, and at least 100 requests were completed
+
   Scenario: a soak that is stopped leaves no upstream and no host running
     When the command soak gets SIGTERM while its processes run
     Then it reports the signal and exits with 1, and its upstream and its host no longer run
--- a/features/steps/fleet_view_steps.py
+++ b/features/steps/fleet_view_steps.py
@@ -7,6 +7,9 @@
 from behave import given
 from behave import then
 from behave import when
+from hypothesis import given as arbitrary
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from acaciasaddle.clock import Clock
 from acaciasaddle.fleet import FleetView
@@ -52,6 +55,105 @@
     return Configuration(version=version, routes=(), services={}, limits=CallerLimits())
 
 
+UPSTREAMS = ("u1", "u2")
+STARTS = st.integers(min_value=1, max_value=3)
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("answer"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("entry"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("draining entry"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("removal"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("complete news"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("old news"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("failed read"), st.sampled_from(UPSTREAMS), STARTS),
+        st.tuples(st.just("pause"), st.sampled_from(UPSTREAMS), STARTS),
+    ),
+    max_size=25,
+)
+
+
+class LeavingSteps:
+    """Guards against an upstream that is used again after it said that it leaves."""
+
+    @staticmethod
+    @when('an answer of "{name}" says that it leaves')
+    def answer(context: Any, name: str) -> None:
+        context.serial = context.view.registry_serial
+        context.view.note_leaving(_entry(name).life, told_by="a request")
+
+    @staticmethod
+    @then('"{name}" takes new work')
+    def takes_work(context: Any, name: str) -> None:
+        assert name in {entry.upstream_id for entry in context.view.upstreams_of("s")}
+
+    @staticmethod
+    @then("the view has changed once")
+    def changed_once(context: Any) -> None:
+        assert context.view.registry_serial == context.serial + 1, context.view.registry_serial
+
+    @staticmethod
+    @then('"{name}" may serve its keys for now')
+    def may_own(context: Any, name: str) -> None:
+        assert context.view.may_own_for_now(context.view.upstreams[name])
+
+    @staticmethod
+    @then('"{name}" may serve its keys no longer')
+    def may_not_own(context: Any, name: str) -> None:
+        assert not context.view.may_own_for_now(context.view.upstreams[name])
+
+    @staticmethod
+    @then('"{name}" is reported to the coordinator as leaving')
+    @then("no upstream is reported to the coordinator as leaving")
+    def reported(context: Any, name: str = "") -> None:
+        found = [life.upstream_id for life in context.view.leaving_to_report()]
+        assert found == ([name] if name else []), found
+
+    @staticmethod
+    @when("answers, entries, news and restarts come in many arbitrary orders")
+    def many(context: Any) -> None:
+        context.used_again: list[Any] = []
+
+        @settings(derandomize=True, database=None, deadline=None, max_examples=400)
+        @arbitrary(EVENTS)
+        def run(events: list[tuple[str, str, int]]) -> None:
+            used = LeavingSteps._play(events)
+            if used:
+                context.used_again.append((events, used))
+
+        run()
+
+    @staticmethod
+    def _play(events: list[tuple[str, str, int]]) -> list[Any]:
+        """Return the starts that took new work after an answer had said that they leave."""
+        clock = ManualClock()
+        view = FleetView(clock=clock)
+        leaving = set()
+        used = []
+        for revision, (kind, name, started) in enumerate(events, start=2):
+            entry = _entry(name, started, draining=kind == "draining entry")
+            if kind == "answer":
+                leaving.add(entry.life)
+                view.note_leaving(entry.life, told_by="a request")
+            elif kind == "failed read":
+                view.note_registry_failure()
+            elif kind == "pause":
+                clock.at += 1.3 * started
+            else:
+                change = RegistryChange(
+                    revision=1 if kind == "old news" else revision,
+                    complete=kind.endswith("news"),
+                    entries={name: None if kind == "removal" else entry},
+                )
+                view.apply_registry(change)
+            used += [found.life for found in view.upstreams_of("s") if found.life in leaving]
+        return used
+
+    @staticmethod
+    @then("no start of an upstream took new work after an answer said that it leaves")
+    def none_used(context: Any) -> None:
+        assert not context.used_again, context.used_again[0]
+
+
 class FleetViewSteps:
     """Guards against a view that returns to an older state or loses upstreams in an outage."""
 
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -370,6 +370,29 @@
         found = context.servers[name][1].connections
         assert found == count, found
 
+    @staticmethod
+    @then('upstream "{name}" got {count:d} requests')
+    def upstream_arrivals(context: Any, name: str, count: int) -> None:
+        found = len(context.servers[name][1].requests)
+        assert found == count, found
+
+    @staticmethod
+    @then('the counter "{name}" is {count:d}')
+    def counter(context: Any, name: str, count: int) -> None:
+        assert context.metrics.counters[name] == count, context.metrics.counters
+
+    @staticmethod
+    @then("the caller is told to retry in {low:g} to {high:g} s")
+    def retry_in(context: Any, low: float, high: float) -> None:
+        values = [float(v) for name, v in context.response.headers if name == b"Retry-After"]
+        assert len(values) == 1 and low <= values[0] <= high, context.response.headers
+
+    @staticmethod
+    @then("no upstream is known to leave")
+    def none_leaving(context: Any) -> None:
+        lines = [line for line in context.log_lines if "leaves" in line["event"]]
+        assert not lines, lines
+
     @staticmethod
     @then('upstream "{name}" saw its connection closed')
     def closed(context: Any, name: str) -> None:
--- a/features/steps/platform_orders_steps.py
+++ b/features/steps/platform_orders_steps.py
@@ -48,14 +48,28 @@
         scripted = answer if answer in (RESET, SILENT) else response
         context.server = ScriptedServer(responses=[scripted])
 
+    @staticmethod
+    @given('an upstream that answers orders with "{answer}" and the mark of one that leaves')
+    def leaving_upstream(context: Any, answer: str) -> None:
+        response = f"HTTP/1.1 {answer} X\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+        context.server = ScriptedServer(responses=[response])
+
+    @staticmethod
+    @then("the upstream is {known} to leave")
+    def known_to_leave(context: Any, known: str) -> None:
+        assert (len(context.leaving) == 1) == (known == "known"), context.leaving
+
     @staticmethod
     @when("a grant is sent")
     def grant(context: Any) -> None:
+        context.leaving = []
+
         async def main() -> None:
             async with trio.open_nursery() as nursery:
                 await nursery.start(context.server.run)
                 try:
-                    await _grant(PlatformOrders(), _owner(context.server.address))
+                    orders = PlatformOrders(note_leaving=context.leaving.append)
+                    await _grant(orders, _owner(context.server.address))
                     context.outcome = "carried out"
                 except UpstreamError as exc:
                     context.outcome = f"{type(exc).__name__} {exc.outcome.value}"
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -53,7 +53,42 @@
     return [*records, _run(sent)] if runs else records
 
 
+def _after_leaving(*, sent: float, life: str = "u1@1") -> Records:
+    """Return the records of a request that is sent after an answer with the mark at 1 s."""
+    told = {**_attempt("completed", once=False), "id": "r1", "at": 1.0, "started": 0.9}
+    later = {**_attempt("completed", once=False), "id": "r2", "at": sent + 0.1, "started": sent}
+    return [
+        {"kind": "arrived", "at": 0.95, "id": "r1", "life": "u1@1"},
+        {"kind": "run", "at": 0.95, "id": "r1", "key": 1, "life": "u1@1"},
+        {**told, "leaving": True},
+        {"kind": "arrived", "at": sent + 0.05, "id": "r2", "life": life},
+        {"kind": "run", "at": sent + 0.05, "id": "r2", "key": 1, "life": life},
+        later,
+    ]
+
+
+def _in_pause(times: list[float]) -> Records:
+    """Return the records of requests that arrive after a request for a pause of 2 s at 1 s."""
+    first = {"kind": "arrived", "at": 1.0, "id": "r0", "life": "u1@1"}
+    records = [first, {**first, "kind": "turned-away", "pause_s": 2.0}]
+    records += [
+        {"kind": "arrived", "at": at, "id": f"r{number}", "life": "u1@1"}
+        for number, at in enumerate(times, start=1)
+    ]
+    attempts = [
+        {**_attempt("not-run"), "id": f"r{number}", "started": 0.9, "at": 9.0, "status": 503}
+        for number in range(len(times) + 1)
+    ]
+    return records + attempts
+
+
 RECORDS: dict[str, Records] = {
+    "a request sent 2.1 s after a leaving answer": _after_leaving(sent=3.1),
+    "a request sent 1.9 s after a leaving answer": _after_leaving(sent=2.9),
+    "a request sent 2.1 s after it to a later start": _after_leaving(sent=3.1, life="u1@2"),
+    "three requests in the rest of a pause": _in_pause([1.6, 2.0, 2.9]),
+    "two requests in the rest of a pause": _in_pause([1.6, 2.9]),
+    "three requests within 0.5 s of it": _in_pause([1.1, 1.2, 1.4]),
     "a request sent 3.1 s after a stop and cut": _stopped(sent=4.1, closed=6.6),
     "a request sent 2.9 s after a stop and cut": _stopped(sent=3.9, closed=6.6),
     "a running request cut 4 s after a stop": _stopped(sent=3.0, closed=5.0),
--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -43,7 +43,11 @@
     "a change of configuration": (_fault("operator", "change"),),
     "a store that fails": (_fault("store", "unavailable"),),
     "no faults": (HARMLESS_FAULT,),
+    "an upstream that leaves quietly": (_fault("u2", "stop"),),
+    "upstreams that ask to wait": (HARMLESS_FAULT,),
 }
+QUIET_LEAVE_S = 4.5
+PAUSE_SHARE = 0.05
 
 
 class SoakRunSteps:
@@ -75,6 +79,8 @@
                 node_args=("-m", "features.support.defective_node", defect),
                 fixed_faults=FAULTS[faults],
                 fail_share=FAIL_SHARE if fails_often else 0.0,
+                quiet_leave_s=QUIET_LEAVE_S if faults.endswith("leaves quietly") else 0.0,
+                pause_share=PAUSE_SHARE if faults.endswith("ask to wait") else 0.0,
                 recovery_limit_s=RECOVERY_LIMIT_S,
             )
             async with limit:
@@ -87,6 +93,41 @@
 
         trio.run(main)
 
+    @staticmethod
+    @when("the soak runs beside upstreams that leave quietly and ask to wait")
+    def wishes(context: Any) -> None:
+        leaving = tuple(
+            Fault(at_s=1.0 + 4.0 * index, length_s=1.0, target=f"u{index + 1}", name="stop")
+            for index in range(2)
+        )
+        options = SoakOptions(
+            seed=1,
+            hosts=3,
+            upstreams=4,
+            fixed_faults=leaving,
+            pause_share=PAUSE_SHARE,
+            quiet_leave_s=QUIET_LEAVE_S,
+        )
+        context.soak = trio.run(SoakRunSteps._run, options)
+
+    @staticmethod
+    @when(
+        "the soak runs with seed {seed:d} and {stops:d} planned stops within {window_s:g} s "
+        "under slow work"
+    )
+    def planned_stops(context: Any, seed: int, stops: int, window_s: float) -> None:
+        options = SoakOptions(
+            seed=seed,
+            faults=stops,
+            fault_window_s=window_s,
+            only_stops=True,
+            callers=16,
+            slots=12,
+            slow_share=0.3,
+            deadline_s=4.0,
+        )
+        context.soak = trio.run(SoakRunSteps._run, options)
+
     @staticmethod
     @then("the soak has no finding, and at least {count:d} requests were completed")
     def no_finding(context: Any, count: int) -> None:
--- a/features/support/defective_node.py
+++ b/features/support/defective_node.py
@@ -22,6 +22,8 @@
 from acaciasaddle.keyspace._grants import LeaseManager
 from acaciasaddle.keyspace._role import CoordinatorRole
 from acaciasaddle.node import run_node
+from acaciasaddle.platform import PlatformDialect
+from acaciasaddle.platform import PlatformOrders
 
 
 def _resend_at_most_once() -> None:
@@ -56,15 +58,15 @@
 
 
 def _grant_half() -> None:
-    grant = LeaseManager.grant
+    grant = PlatformOrders.grant
 
-    async def grant_half(self: Any, span: Any, *, handover: str = "") -> None:
+    async def grant_half(self: Any, owner: Any, keys: KeyRange, **kwargs: Any) -> None:
         # No key of the upper half is granted, however the keys are divided into spans.
-        keys = KeyRange(span.keys.first, min(span.keys.last, KEY_COUNT // 2 - 1))
-        if keys.size > 0:
-            await grant(self, replace(span, keys=keys), handover=handover)
+        lower = KeyRange(keys.first, min(keys.last, KEY_COUNT // 2 - 1))
+        if lower.size > 0:
+            await grant(self, owner, lower, **kwargs)
 
-    LeaseManager.grant = grant_half
+    PlatformOrders.grant = grant_half
 
 
 def _ignore_configuration_changes() -> None:
@@ -84,6 +86,15 @@
     Kernel.shutdown = lambda self: None
 
 
+def _ignore_leaving() -> None:
+    PlatformDialect.is_leaving = lambda self, *args: False
+    PlatformOrders._check_leaving = lambda self, *args: None
+
+
+def _ignore_pauses() -> None:
+    PlatformDialect.requested_pause_s = lambda self, *args: None
+
+
 def _exit_without_store() -> None:
     renew = CoordinatorRole._renew
 
@@ -107,6 +118,8 @@
     "grants only half of the keys": _grant_half,
     "ignores configuration changes": _ignore_configuration_changes,
     "does not stop": _ignore_sigterm,
+    "ignores upstreams that leave": _ignore_leaving,
+    "ignores upstreams that ask to wait": _ignore_pauses,
     "ends when the store fails": _exit_without_store,
 }
 
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -105,11 +105,11 @@
     )
 
 
-def not_run(status: int, *, upstream_id: str = "u1") -> str:
+def not_run(status: int, *, upstream_id: str = "u1", extra: str = "") -> str:
     """Return a response which states that the request was not run."""
     return (
         f"+HTTP/1.1 {status} No\r\nRequest-Id: {{id}}\r\nNot-Executed: 1\r\n"
-        f"Instance-Id: {upstream_id}\r\nContent-Length: 0\r\n\r\n"
+        f"Instance-Id: {upstream_id}\r\n{extra}Content-Length: 0\r\n\r\n"
     )
 
 
@@ -136,6 +136,12 @@
     "surplus after": ok() + ok("other").lstrip("+"),
     "two lengths": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.5\r\n"
     "Content-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
+    "full for 5 s": not_run(503, extra="Retry-After: 5\r\n"),
+    "full for 0.1 s": not_run(503, extra="Retry-After: 0.1\r\n"),
+    "bare 503 for 5 s": "+HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nRetry-After: 5\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "leaving": ok(extra="Server-Leaving: 1\r\n"),
+    "other one leaving": not_run(421, upstream_id="u9", extra="Server-Leaving: 1\r\n"),
     "bare 503": "+HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n",
     "bare 429": "+HTTP/1.1 429 No\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n",
     "endless head": f"HTTP/1.1 200 OK\r\nRequest-Id: {{id}}\r\n{ENDLESS}X-More: and more\r\n",
--- a/features/users_platform/orders.feature
+++ b/features/users_platform/orders.feature
@@ -38,6 +38,17 @@
       | 409    | release |
       | 421    | release |
 
+  Scenario Outline: an answer to an order says that the upstream leaves
+    Given an upstream that answers orders with "<answer>" and the mark of one that leaves
+    When a grant is sent
+    Then the upstream is <known> to leave
+
+    Examples:
+      | answer | known     |
+      | 200    | known     |
+      | 409    | known     |
+      | 404    | not known |
+
   Scenario Outline: an upstream responds only if it answers a health check
     Given an upstream that answers orders with "<answer>"
     When the upstream is probed
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -43,6 +43,18 @@
     default=0.0,
     help="Share of the runs that take 0.5 to 2.5 s instead of about 20 ms.",
 )
+@click.option(
+    "--pause-share",
+    type=click.FloatRange(0, 1),
+    default=0.0,
+    help="Share of the requests that upstreams turn away, asking the host to wait 1 to 2.5 s.",
+)
+@click.option(
+    "--quiet-leave",
+    type=click.FloatRange(min=0),
+    default=0.0,
+    help="Seconds for which upstreams that leave say so in answers before they report it.",
+)
 @click.option("--slots", type=click.IntRange(min=1), default=2, help="Slots of each upstream.")
 @click.option(
     "--deadline",
@@ -66,6 +78,8 @@
     within: float,
     stops: bool,
     slow_share: float,
+    pause_share: float,
+    quiet_leave: float,
     slots: int,
     deadline: float,
     directory: Path | None,
@@ -91,6 +105,8 @@
             only_stops=stops,
             slow_share=slow_share,
             slots=slots,
+            pause_share=pause_share,
+            quiet_leave_s=quiet_leave,
             deadline_s=deadline,
         )
         if not _run_one(options, directory):
--- a/src/acaciasaddle/emulator/soak/_callers.py
+++ b/src/acaciasaddle/emulator/soak/_callers.py
@@ -24,6 +24,8 @@
 EXTRA_WAIT_S = 4.0
 """Time that a caller waits for a response after its deadline."""
 MEAN_PAUSE_S = 0.05
+LEAVING_MARK = b"server-leaving"
+"""Header of an answer of an upstream that leaves, as the hosts pass it on."""
 DEPOSIT_SHARE = 0.4
 HOT_KEY_COUNT = 40
 HOT_SHARE = 0.5
@@ -117,6 +119,7 @@
             host=host_id,
             started=started,
             status=resp.status if resp else 0,
+            leaving=resp is not None and (LEAVING_MARK, b"1") in resp.headers,
             outcome=classify_outcome(request_id, _body(request_id, once), resp),
         )
 
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -21,6 +21,12 @@
 EARLY_S = 3.0
 """A request that was sent within this time of the signal may be broken off in the last sixth of the
 grace time, if its upstream is still at work on it."""
+DRAIN_S = 2.0
+"""A host may send requests to an upstream for this long after passing on that it leaves."""
+PAUSE_SLACK_S = 0.5
+"""Requests may reach an upstream for this long after it asked the host to wait."""
+MAX_IN_PAUSE = 2
+"""Number of requests that may reach the upstream in the rest of the pause."""
 UNREAD_S = 0.2
 """A request that reached no upstream and whose connection closes later than this was read."""
 
@@ -48,6 +54,8 @@
         *_check_runs(records),
         *_check_responses(records),
         *_check_stops(records),
+        *_check_leaving(records),
+        *_check_pauses(records),
     ]
 
 
@@ -179,3 +187,87 @@
                 f"{len(runs.get(request_id, ()))} runs"
             )
             yield Finding(rule="lost-at-stop", detail=detail)
+
+
+def _check_leaving(records: Sequence[Record]) -> Iterator[Finding]:
+    """Find requests that reached an upstream long after their host had passed on that it leaves.
+
+    A signal to the host in between excuses it.
+    """
+    arrivals = _arrivals(records)
+    signals = _signal_times(records)
+    told: dict[tuple[str, str], float] = {}
+    attempts = [record for record in records if record["kind"] == "attempt"]
+    for record in attempts:
+        if record.get("leaving"):
+            for life, _ in arrivals.get(record["id"], ())[-1:]:
+                told.setdefault((record["host"], life), record["at"])
+    for record in attempts:
+        for life, _ in arrivals.get(record["id"], ()):
+            told_at = told.get((record["host"], life))
+            if told_at is None or record["started"] <= told_at + DRAIN_S:
+                continue
+            if any(told_at <= at <= record["at"] for at in signals[record["host"]]):
+                continue
+            detail = (
+                f"{record['id']}: {record['host']} sent it to {life}, "
+                f"{record['started'] - told_at:.2f} s after passing on that it leaves"
+            )
+            yield Finding(rule="used-after-leaving", detail=detail)
+
+
+def _check_pauses(records: Sequence[Record]) -> Iterator[Finding]:
+    """Find upstreams that a host sent more than a few requests after they asked it to wait.
+
+    A signal to the host in between, or a fault on the way to the upstream, excuses it.
+    """
+    hosts = {record["id"]: record["host"] for record in records if record["kind"] == "attempt"}
+    arrived: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for record in records:
+        if record["kind"] == "arrived" and record["id"] in hosts:
+            arrived[hosts[record["id"]], record["life"]].append(record["at"])
+    signals = _signal_times(records)
+    for record in records:
+        if record["kind"] != "turned-away" or record["id"] not in hosts:
+            continue
+        host, life, at = hosts[record["id"]], record["life"], record["at"]
+        ends_at = at + record["pause_s"]
+        early = [when for when in arrived[host, life] if at + PAUSE_SLACK_S < when < ends_at]
+        if len(early) <= MAX_IN_PAUSE or _is_disturbed(records, life, at, ends_at):
+            continue
+        if any(at <= when <= ends_at for when in signals[host]):
+            continue
+        detail = (
+            f"{host} sent {len(early)} requests to {life} in the {record['pause_s']} s "
+            f"after {at:.3f} for which it had asked to wait"
+        )
+        yield Finding(rule="sent-in-pause", detail=detail)
+
+
+def _arrivals(records: Sequence[Record]) -> dict[str, list[tuple[str, float]]]:
+    """Return the incarnations that each request reached, and when, in their order."""
+    arrivals: dict[str, list[tuple[str, float]]] = defaultdict(list)
+    for record in records:
+        if record["kind"] == "arrived":
+            arrivals[record["id"]].append((record["life"], record["at"]))
+    return arrivals
+
+
+def _signal_times(records: Sequence[Record]) -> dict[str, list[float]]:
+    times: dict[str, list[float]] = defaultdict(list)
+    for record in records:
+        if record["kind"] == "signalled":
+            times[record["name"]].append(record["at"])
+    return times
+
+
+def _is_disturbed(records: Sequence[Record], life: str, start: float, end: float) -> bool:
+    """Return whether the way to an upstream had a fault in a time, or shortly before."""
+    target = f"way to {life.partition('@')[0]}"
+    return any(
+        record["kind"] == "fault"
+        and record["target"] == target
+        and record["at"] < end
+        and record["at"] + record["length_s"] + 1.0 > start
+        for record in records
+    )
--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -63,6 +63,8 @@
     fail_share: float = 0.0
     slow_share: float = 0.0
     slots: int = 2
+    pause_share: float = 0.0
+    quiet_leave_s: float = 0.0
     route_timeout_s: float = ROUTE_TIMEOUT_S
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     host_addresses: dict[str, str] = field(default_factory=dict)
@@ -95,6 +97,8 @@
             fail_share=self.fail_share,
             slow_share=self.slow_share,
             slots=self.slots,
+            pause_share=self.pause_share,
+            quiet_leave_s=self.quiet_leave_s,
         )
         path = self.directory / f"{name}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -166,6 +170,7 @@
 
     def pause(self, name: str) -> None:
         """Suspend a process."""
+        self.records.add("signalled", name=name, signum=int(signal.SIGSTOP))
         self._signal(name, signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -66,7 +66,8 @@
 
     ``fixed_faults`` replace the faults drawn from the seed. ``fail_share`` is the share of the
     upstreams' runs that end in each of the three ways that ``standins.UpstreamSettings`` lists,
-    ``slow_share`` that of their slow runs, and ``slots`` the number of runs at a time. If
+    ``slow_share`` that of their slow runs, and ``slots`` the number of runs at a time.
+    ``pause_share`` and ``quiet_leave_s`` say how upstreams ask hosts to wait and leave. If
     ``only_stops`` is true, all faults are planned stops of hosts.
     ``node_args`` are the interpreter's arguments that run a node, before the path of its settings.
     ``recovery_limit_s`` is the time in which each host must serve the probed keys after the start
@@ -84,6 +85,8 @@
     fail_share: float = FAIL_SHARE
     slow_share: float = 0.0
     slots: int = 2
+    pause_share: float = 0.0
+    quiet_leave_s: float = 0.0
     deadline_s: float = DEADLINE_S
     only_stops: bool = False
     recovery_limit_s: float = RECOVERY_LIMIT_S
@@ -127,6 +130,8 @@
             fail_share=options.fail_share,
             slow_share=options.slow_share,
             slots=options.slots,
+            pause_share=options.pause_share,
+            quiet_leave_s=options.quiet_leave_s,
             route_timeout_s=max(options.deadline_s, ROUTE_TIMEOUT_S),
         )
         nursery.start_soon(_fail_on_signal)
@@ -194,6 +199,7 @@
     """Apply a fault once the previous one of its target has ended, which may be after ``at_s``."""
     async with lock:
         log.info("fault", target=fault.target, name=fault.name, length_s=fault.length_s)
+        deployment.records.add("fault", target=fault.target, length_s=fault.length_s)
         await _apply(deployment, fault, result)
 
 
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from acaciasaddle.fleet._leaving import LeavingIncarnations
 from acaciasaddle.observe import get_logger
 from acaciasaddle.routing import RouteTable
 
@@ -14,12 +15,16 @@
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet._types import RegistryChange
     from acaciasaddle.fleet._types import UpstreamEntry
+    from acaciasaddle.fleet._types import UpstreamIncarnation
     from acaciasaddle.keyspace import KeyMap
     from acaciasaddle.routing import Configuration
 
 RETURN_LIMIT_S = 2.2
 """Upstreams that are missing after an outage of the registry are kept for this long. Those whose
 entries expired during the outage return within about 2 s."""
+LEAVING_GRACE_S = 1.0
+"""Upstreams serve for 2 s after the first answer that says that they leave. The coordinator moves
+their keys within a report, 0.4 s, and a round, 0.25 s."""
 REMOVAL_MEMORY_S = 30.0
 """A removal is remembered for this long. Links report what was read a few seconds ago at most."""
 OUTAGE_S = 1.5
@@ -50,6 +55,7 @@
         self.registry_serial = 0
         self.registry_revision = 0
         self.granted: set[tuple[str, int]] = set()
+        self._leaving = LeavingIncarnations()
         self._missing_since: dict[str, float] = {}
         # Whether a read of the registry by this host has failed since the last news of it.
         self._reads_failed = False
@@ -87,6 +93,45 @@
             if entry.service == service and not entry.draining
         ]
 
+    def note_leaving(self, life: UpstreamIncarnation, *, told_by: str) -> None:
+        """Note that an answer of an upstream said that it leaves.
+
+        ``told_by`` names for the log what was answered, or the host that reported it. The upstream
+        counts as draining from now on, whatever the registry says of this incarnation.
+        """
+        if not self._leaving.note(life, told_at=self._clock.now()):
+            return
+        entry = self.upstreams.get(life.upstream_id)
+        registered = entry is not None and self._leaving.includes(entry.life)
+        log.info(
+            "upstream leaves, said an answer",
+            upstream=life.upstream_id,
+            told_by=told_by,
+            registered=registered,
+            registry_age_s=self.registry_age_s,
+        )
+        if entry is not None and registered and not entry.draining:
+            self.upstreams[life.upstream_id] = replace(entry, draining=True)
+            self._note_registry_change()
+
+    def leaving_to_report(self) -> list[UpstreamIncarnation]:
+        """Return the registered incarnations of which only answers have said that they leave."""
+        entries = self.upstreams
+        return [
+            life
+            for life in self._leaving.told_by_answers()
+            if (entry := entries.get(life.upstream_id)) is not None and entry.life == life
+        ]
+
+    def may_own_for_now(self, entry: UpstreamEntry) -> bool:
+        """Return whether a draining upstream may still serve its keys until they are moved.
+
+        True for ``LEAVING_GRACE_S`` after an answer said that it leaves, as long as nothing else
+        has: the coordinator learns of it only now.
+        """
+        told_at = self._leaving.told_at(entry.life)
+        return told_at is not None and self._clock.now() - told_at < LEAVING_GRACE_S
+
     def apply_configuration(self, cfg: Configuration) -> None:
         """Put a configuration in force if it is newer than the one in force."""
         current = self.configuration
@@ -213,8 +258,9 @@
         if known is not None and entry.life.started_ms < known.life.started_ms:
             log.warning("entry of an earlier incarnation ignored", upstream=entry.upstream_id)
             return False
-        if known is not None and known.life == entry.life and known.draining:
-            # An incarnation that drains never takes new work again.
+        if entry.draining:
+            self._leaving.note(entry.life, told_at=None)
+        elif self._leaving.includes(entry.life):
             entry = replace(entry, draining=True)
         self.upstreams[entry.upstream_id] = entry
         if known is None:
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -5,7 +5,9 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import NoReturn
 
 import trio
 
@@ -22,6 +24,7 @@
 from acaciasaddle.forward._types import CallerRequest
 from acaciasaddle.forward._types import CallerResponse
 from acaciasaddle.forward._types import RequestMetadata
+from acaciasaddle.forward._upstreams import BlockReason
 from acaciasaddle.forward._upstreams import UpstreamStates
 from acaciasaddle.http1 import ClientConnection
 from acaciasaddle.keyspace import LoadSample
@@ -34,12 +37,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.fleet import UpstreamEntry
     from acaciasaddle.forward._budget import RepeatBudget
     from acaciasaddle.forward._stop import PlannedStop
     from acaciasaddle.forward._types import Dialect
+    from acaciasaddle.forward._upstreams import Block
     from acaciasaddle.http1 import RawHeaders
     from acaciasaddle.http1 import Response
     from acaciasaddle.keyspace import Span
@@ -69,6 +74,12 @@
 """Pause before a request is sent again after a failed send, or to an owner that rejected it
 although it has free slots."""
 MAX_SENDS = 4
+OWNER_BLOCKED = {
+    BlockReason.LEAVING: "the owner leaves",
+    BlockReason.REPLACED: "the owner has ended",
+    BlockReason.SILENT: "the owner is silent",
+    BlockReason.ASKED_TO_WAIT: "the owner asked to wait",
+}
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run. An upstream's response with one of
 them is no such promise unless it says so itself."""
@@ -263,10 +274,26 @@
             bulky=pending.route.bulky,
         )
         if chosen is None:
-            raise _refused("no upstream is left to try", NO_UPSTREAM_RETRY_S, "choose")
+            self._refuse_unserved(pending, upstreams)
         self._admit(pending, chosen)
         return chosen
 
+    def _refuse_unserved(
+        self, pending: _PendingRequest, upstreams: Sequence[UpstreamEntry]
+    ) -> NoReturn:
+        """Raise ``RefusedError`` for a request that no upstream of its service may be sent."""
+        now = trio.current_time()
+        untried = [entry for entry in upstreams if entry.upstream_id not in pending.tried]
+        resumes_at = self._states.first_resumption(untried, now=now)
+        if resumes_at is None:
+            raise _refused("no upstream is left to try", NO_UPSTREAM_RETRY_S, "choose")
+        reason = BlockReason.ASKED_TO_WAIT
+        self._metrics.count(f"forward.blocked.{reason.replace(' ', '_')}")
+        wait_s = resumes_at - now
+        raise _refused(
+            "all upstreams asked to wait", wait_s, "choose", longest_retry_after_s=wait_s
+        )
+
     async def _wait_for_owner(self, pending: _PendingRequest, key: int) -> UpstreamEntry:
         """Return the owner of a key.
 
@@ -283,20 +310,40 @@
             span = owners.find(key) if owners is not None else None
             entry = self._active_owner(service, span)
             if entry is not None:
-                silent_until = self._states.of(entry.upstream_id).silent_until(entry, now)
-                if silent_until is not None:
-                    raise _refused("the owner is silent", silent_until - now, "choose")
-                self._admit(pending, entry)
-                return entry
+                block = self._states.block(entry, now=now, keyed=True)
+                if block is None:
+                    self._admit(pending, entry)
+                    return entry
+                await self._wait_out(pending, block)
+                continue
             if span is None or (
                 span.moving and self._view.moving_for_s(service, span.fence) > OWNER_WAIT_S
             ):
                 raise _refused("the key has no owner now", NO_UPSTREAM_RETRY_S, "choose")
+            if not self._view.upstreams_of(service):
+                raise _refused("no upstream takes new work", NO_UPSTREAM_RETRY_S, "choose")
             with trio.move_on_at(wait_until) as scope:
                 await changed.wait()
             if scope.cancelled_caught:
                 raise _refused("the key is still moving", NO_UPSTREAM_RETRY_S, "choose")
 
+    async def _wait_out(self, pending: _PendingRequest, block: Block) -> None:
+        """Wait until the owner of a key may be sent to again; raise ``RefusedError`` if it is long.
+
+        Only the end of a short pause that the owner asked for is waited for.
+        """
+        now = trio.current_time()
+        wait_s = block.until - now
+        self._metrics.count(f"forward.blocked.{block.reason.replace(' ', '_')}")
+        ends_in_time = block.until + MIN_ATTEMPT_S < pending.ends_at
+        if block.reason is BlockReason.ASKED_TO_WAIT and wait_s <= OWNER_WAIT_S and ends_in_time:
+            await trio.sleep_until(block.until)
+            return
+        longest_s = wait_s if block.reason is BlockReason.ASKED_TO_WAIT else MAX_RETRY_AFTER_S
+        raise _refused(
+            OWNER_BLOCKED[block.reason], wait_s, "choose", longest_retry_after_s=longest_s
+        )
+
     def _admit(self, pending: _PendingRequest, upstream: UpstreamEntry) -> None:
         """Raise ``RefusedError`` if a request is expected to end too late, or has to yield."""
         now = trio.current_time()
@@ -346,9 +393,12 @@
         if span is None or (span.moving and (service, span.fence) not in self._view.granted):
             return None
         entry = self._view.upstreams.get(span.owner.incarnation.upstream_id)
-        if entry is None or entry.life != span.owner.incarnation or entry.draining:
+        if entry is None or entry.life != span.owner.incarnation:
             return None
-        return entry
+        if not entry.draining:
+            return entry
+        # Requests for the keys of an owner that has just begun to leave need not wait for the move.
+        return replace(entry, draining=False) if self._view.may_own_for_now(entry) else None
 
     # A single send.
 
@@ -378,6 +428,7 @@
                 body=pending.req.body,
                 matches=lambda resp: self._dialect.answers(resp.fields, pending.metadata),
             )
+            self._note_pause(upstream, resp)
             problem = self._problem_of(resp)
             if problem:
                 conn.reusable = False
@@ -391,6 +442,8 @@
         finally:
             state.in_flight -= 1
             self._pool.release(upstream, conn)
+        if self._dialect.is_leaving(resp.status, resp.fields, upstream.upstream_id):
+            self._view.note_leaving(upstream.life, told_by="a request")
         if self._dialect.is_not_run(resp.status, resp.fields):
             pending.outcome = earlier
             return resp
@@ -405,6 +458,16 @@
         self._add_load_sample(pending, upstream_id=upstream.upstream_id, seconds=seconds)
         return resp
 
+    def _note_pause(self, upstream: UpstreamEntry, resp: Response) -> None:
+        """Note for how long the upstream wants no requests of this host, if it says so."""
+        pause_s = self._dialect.requested_pause_s(resp.status, resp.fields)
+        if pause_s is not None:
+            until = trio.current_time() + pause_s
+            self._states.of(upstream.upstream_id).note_pause(upstream.life, until)
+            log.info(
+                "upstream asked to wait", upstream=upstream.upstream_id, seconds=round(pause_s, 3)
+            )
+
     def _problem_of(self, resp: Response) -> str:
         """Return why a response may not be passed on to the caller, or an empty string."""
         if 200 <= resp.status < 300 and not self._dialect.is_signed(resp.fields):
@@ -508,6 +571,9 @@
         """
         if self._states.of(owner.upstream_id).is_replaced(owner):
             raise _refused("the owner has ended", NO_UPSTREAM_RETRY_S, "send")
+        block = self._states.block(owner, now=trio.current_time(), keyed=False)
+        if block is not None and block.reason is BlockReason.ASKED_TO_WAIT:
+            await self._wait_out(pending, block)
         if pending.sends >= MAX_SENDS:
             return False
         if status == 421:
@@ -541,7 +607,7 @@
     def _refusal_response(self, exc: RefusedError) -> CallerResponse:
         headers: RawHeaders = []
         if exc.retry_after is not None:
-            seconds = min(max(exc.retry_after, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+            seconds = max(exc.retry_after, MIN_RETRY_AFTER_S)
             seconds *= 1.0 + RETRY_JITTER * self._random.random()
             headers.append((b"Retry-After", f"{seconds:.3f}".encode()))
         return CallerResponse(status=exc.status, headers=headers, body=b"")
@@ -592,14 +658,19 @@
 
 
 def _refused(
-    message: str, retry_after: float | None, step: str, *, status: int = 503
+    message: str,
+    retry_after: float | None,
+    step: str,
+    *,
+    status: int = 503,
+    longest_retry_after_s: float = MAX_RETRY_AFTER_S,
 ) -> RefusedError:
     """Return the error for a request that has not run."""
     return RefusedError(
         message,
         outcome=Outcome.NOT_RUN,
         status=status,
-        retry_after=retry_after,
+        retry_after=None if retry_after is None else min(retry_after, longest_retry_after_s),
         step=f"forward.{step}",
     )
 
--- a/src/acaciasaddle/forward/_types.py
+++ b/src/acaciasaddle/forward/_types.py
@@ -78,6 +78,14 @@
     def is_other_upstream(self, fields: Mapping[str, str], upstream_id: str) -> bool:
         """Return whether a rejection comes from another upstream, which has taken the address."""
 
+    @abstractmethod
+    def is_leaving(self, status: int, fields: Mapping[str, str], upstream_id: str) -> bool:
+        """Return whether a response says that the upstream which sent it leaves."""
+
+    @abstractmethod
+    def requested_pause_s(self, status: int, fields: Mapping[str, str]) -> float | None:
+        """Return for how many seconds the upstream wants no request of this host, if it says so."""
+
     @abstractmethod
     def is_signed(self, fields: Mapping[str, str]) -> bool:
         """Return whether a response carries a signature. The signature is not verified."""
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from acaciasaddle.fleet import UpstreamIncarnation
@@ -36,6 +38,23 @@
 """The same for bulky requests, whose bodies take most of the bandwidth between data centres."""
 
 
+class BlockReason(StrEnum):
+    """Why an upstream may not be sent to."""
+
+    LEAVING = "leaving"
+    REPLACED = "replaced"
+    SILENT = "silent"
+    ASKED_TO_WAIT = "asked to wait"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Block:
+    """Why an upstream may not be sent to, and until when as far as is known."""
+
+    reason: BlockReason
+    until: float
+
+
 @dataclass(slots=True, kw_only=True)
 class UpstreamState:
     """State of one upstream: its requests from this host, its response time and its failures.
@@ -43,6 +62,7 @@
     ``in_flight`` counts the requests in progress, ``response_s`` is a moving average, and
     ``failures`` counts consecutive failures. Until ``avoid_until`` other upstreams are preferred.
     ``replaced`` is the incarnation and address at which another upstream answered, if any.
+    ``paused`` is the incarnation that asked this host to wait, and until when.
     """
 
     in_flight: int = 0
@@ -50,6 +70,22 @@
     failures: int = 0
     avoid_until: float = 0.0
     replaced: tuple[UpstreamIncarnation, str] | None = None
+    paused: tuple[UpstreamIncarnation, float] | None = None
+
+    def note_pause(self, life: UpstreamIncarnation, until: float) -> None:
+        """Record that an incarnation wants no request of this host until a given time.
+
+        A longer time that it asked for before holds on.
+        """
+        if self.paused is not None and self.paused[0] == life:
+            until = max(until, self.paused[1])
+        self.paused = (life, until)
+
+    def paused_until(self, entry: UpstreamEntry, now: float) -> float | None:
+        """Return until when the upstream wants no request of this host, or ``None``."""
+        if self.paused is None or self.paused[0] != entry.life or self.paused[1] <= now:
+            return None
+        return self.paused[1]
 
     def note_replaced(self, entry: UpstreamEntry) -> None:
         """Record that another upstream answered at the address of an entry."""
@@ -61,8 +97,6 @@
 
     def silent_until(self, entry: UpstreamEntry, now: float) -> float | None:
         """Return the time until which the upstream counts as silent, or ``None`` if it does not."""
-        if self.is_replaced(entry):
-            return now + MAX_PENALTY_S
         if self.failures >= SILENT_AFTER_FAILURES and self.avoid_until > now:
             return self.avoid_until
         return None
@@ -100,6 +134,30 @@
         """Return the number of requests in progress at each upstream that has any."""
         return {name: state.in_flight for name, state in self._states.items() if state.in_flight}
 
+    def block(self, entry: UpstreamEntry, *, now: float, keyed: bool) -> Block | None:
+        """Return why a request may not be sent to an upstream now, or ``None`` if it may.
+
+        A silent upstream is blocked for the requests of its keys only (``keyed``); for others it is
+        merely the last choice.
+        """
+        if entry.draining:
+            return Block(reason=BlockReason.LEAVING, until=math.inf)
+        state = self.of(entry.upstream_id)
+        if state.is_replaced(entry):
+            return Block(reason=BlockReason.REPLACED, until=now + MAX_PENALTY_S)
+        paused_until = state.paused_until(entry, now)
+        if paused_until is not None:
+            return Block(reason=BlockReason.ASKED_TO_WAIT, until=paused_until)
+        silent_until = state.silent_until(entry, now) if keyed else None
+        if silent_until is not None:
+            return Block(reason=BlockReason.SILENT, until=silent_until)
+        return None
+
+    def first_resumption(self, upstreams: Sequence[UpstreamEntry], *, now: float) -> float | None:
+        """Return when the first of some upstreams takes requests again that asked to wait."""
+        times = [self.of(entry.upstream_id).paused_until(entry, now) for entry in upstreams]
+        return min((at for at in times if at is not None), default=None)
+
     def choose(
         self,
         upstreams: Sequence[UpstreamEntry],
@@ -116,7 +174,7 @@
         data centre only for a clearly better upstream.
         """
         options = [entry for entry in upstreams if entry.upstream_id not in tried]
-        options = [e for e in options if not self.of(e.upstream_id).is_replaced(e)]
+        options = [e for e in options if self.block(e, now=now, keyed=False) is None]
         preferred = [e for e in options if self.of(e.upstream_id).avoid_until <= now]
         options = preferred or options
         if not options:
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -18,6 +18,7 @@
 
 from acaciasaddle.errors import PeerError
 from acaciasaddle.fleet import RegistryChange
+from acaciasaddle.fleet import UpstreamIncarnation
 from acaciasaddle.kernel import Service
 from acaciasaddle.kernel import open_listening_socket
 from acaciasaddle.keyspace import ROLE_LEASE_S
@@ -265,6 +266,9 @@
             for service, key, upstream, seconds in report.samples
         ]
         self._load.add(samples, now=self._clock.now())
+        for upstream_id, started_ms in report.leaving:
+            life = UpstreamIncarnation(upstream_id=upstream_id, started_ms=started_ms)
+            self._view.note_leaving(life, told_by=report.host_id)
 
     async def _send_states(
         self, frames: FrameStream, sent: _SentState, scope: trio.CancelScope
@@ -399,6 +403,10 @@
                     busy=self._busy(),
                     owners={name: owners.version for name, owners in self._view.owners.items()},
                     needs_configuration=self._needs_configuration(),
+                    leaving=[
+                        (life.upstream_id, life.started_ms)
+                        for life in self._view.leaving_to_report()
+                    ],
                 )
                 with trio.fail_after(SILENCE_S):
                     await frames.send(report)
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -35,7 +35,8 @@
     ``samples`` has the fields of ``LoadSample``: service, key, upstream id and seconds. ``busy`` is
     the number of the host's requests in progress at each upstream. ``owners`` maps each service to
     the version of its owners that the host knows. ``needs_configuration`` is true if the host asks
-    for the configuration. ``address`` is where the host listens for links.
+    for the configuration. ``address`` is where the host listens for links. ``leaving`` has the id
+    and the start of the upstreams whose answers say that they leave.
     """
 
     host_id: str
@@ -44,6 +45,7 @@
     busy: dict[str, int]
     owners: dict[str, int]
     needs_configuration: bool
+    leaving: list[tuple[str, int]] = []
 
 
 class OwnersPart(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -87,7 +88,7 @@
             address=f"{settings.ip}:{settings.ports[0]}",
             view=self.view,
             table=table,
-            orders=PlatformOrders(),
+            orders=PlatformOrders(note_leaving=partial(self.view.note_leaving, told_by="an order")),
             clock=clock,
             load=self.load,
             max_lease_s=bounds.max_lease_s,
--- a/src/acaciasaddle/platform/_dialect.py
+++ b/src/acaciasaddle/platform/_dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from acaciasaddle.forward import Dialect
@@ -13,6 +14,11 @@
 
 MAX_KEY = 65_535
 MAX_DEADLINE_MS = 3_600_000
+MAX_PAUSE_S = 60.0
+"""Longest time for which one answer keeps requests from its upstream, so that a wrong value cannot
+take the upstream out for good."""
+MAX_PAUSE_CHARACTERS = 32
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]+)?", re.ASCII)
 
 
 class PlatformDialect(Dialect):
@@ -47,10 +53,36 @@
     def is_other_upstream(self, fields: Mapping[str, str], upstream_id: str) -> bool:
         return fields.get(_wire.UPSTREAM_ID, upstream_id) != upstream_id
 
+    def is_leaving(self, status: int, fields: Mapping[str, str], upstream_id: str) -> bool:
+        return says_leaving(status, fields, upstream_id)
+
+    def requested_pause_s(self, status: int, fields: Mapping[str, str]) -> float | None:
+        if status != 503:
+            return None
+        return _pause_s(fields.get(_wire.RETRY_AFTER, ""))
+
     def is_signed(self, fields: Mapping[str, str]) -> bool:
         return bool(fields.get(_wire.SIGNATURE))
 
 
+def says_leaving(status: int, fields: Mapping[str, str], upstream_id: str) -> bool:
+    """Return whether an answer says that the upstream with an id leaves.
+
+    A 421 may come from another upstream that has taken the address, and has to name the upstream.
+    """
+    if fields.get(_wire.LEAVING, "") != "1":
+        return False
+    default = "" if status == 421 else upstream_id
+    return fields.get(_wire.UPSTREAM_ID, default) == upstream_id
+
+
+def _pause_s(text: str) -> float | None:
+    """Return the seconds of a ``Retry-After``; ``None`` for a date or another value."""
+    if len(text) > MAX_PAUSE_CHARACTERS or not _DECIMAL.fullmatch(text):
+        return None
+    return min(float(text), MAX_PAUSE_S)
+
+
 def _number(text: str | None, maximum: int, *, scale: float) -> float | None:
     """Return the number, capped at ``maximum`` and divided by ``scale``, or ``None``."""
     if text is None or not text.isascii() or not text.isdigit():
--- a/src/acaciasaddle/platform/_orders.py
+++ b/src/acaciasaddle/platform/_orders.py
@@ -15,15 +15,20 @@
 from acaciasaddle.keyspace import KeyOrders
 from acaciasaddle.keyspace import ReplacedError
 from acaciasaddle.observe import get_logger
+from acaciasaddle.platform._dialect import says_leaving
 from acaciasaddle.platform._wire import HANDOVER
 from acaciasaddle.platform._wire import PATH_PREFIX
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from acaciasaddle.fleet import UpstreamIncarnation
     from acaciasaddle.http1 import Response
     from acaciasaddle.keyspace import KeyRange
     from acaciasaddle.keyspace import Owner
 
 HTTP_OK = 200
+HTTP_CONFLICT = 409
 CONNECT_TIMEOUT_S = 0.5
 REPLACED_STATUSES = (400, 404, 421)
 """Statuses that show that another upstream answered. The address of an ended upstream may be reused
@@ -51,8 +56,12 @@
     make the next order count as not carried out.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, note_leaving: Callable[[UpstreamIncarnation], None] | None = None
+    ) -> None:
+        """``note_leaving`` is called with an upstream whose answer says that it leaves."""
         self._idle: dict[str, _IdleConnection] = {}
+        self._note_leaving = note_leaving
 
     async def grant(
         self,
@@ -146,7 +155,8 @@
             self._idle[address] = _IdleConnection(
                 conn=conn, after_release=after_release or is_release
             )
-        if resp.status == 409:
+        self._check_leaving(resp, owner.incarnation)
+        if resp.status == HTTP_CONFLICT:
             raise FencedError(
                 "the upstream has seen a higher fencing token", step=step, peer=address
             )
@@ -163,6 +173,15 @@
             )
         return resp.fields
 
+    def _check_leaving(self, resp: Response, life: UpstreamIncarnation) -> None:
+        if (
+            self._note_leaving is not None
+            # Other statuses may come from another upstream that has taken the address.
+            and resp.status in (HTTP_OK, HTTP_CONFLICT)
+            and says_leaving(resp.status, resp.fields, life.upstream_id)
+        ):
+            self._note_leaving(life)
+
     async def _connection(self, address: str, *, is_release: bool) -> tuple[ClientConnection, bool]:
         """Return a connection for an order, and whether it has carried a release."""
         idle = self._idle.get(address)
--- a/src/acaciasaddle/platform/standins/_upstream_app.py
+++ b/src/acaciasaddle/platform/standins/_upstream_app.py
@@ -38,6 +38,10 @@
 DEFAULT_DEADLINE_MS = 10_000.0
 SLOW_WORK_S = (0.5, 2.5)
 """Shortest and longest time of a slow run."""
+PAUSE_S = (1.0, 2.5)
+"""Shortest and longest time for which an upstream asks a host to wait."""
+FULL_PAUSE_S = 0.1
+"""The time that a full upstream asks for."""
 
 log = get_logger("upstream-stand-in")
 
@@ -49,7 +53,9 @@
     at the same time, and at most ``queue`` wait for a slot. ``fail_share`` is the share of the runs
     that end in each of three ways: without a response, with status 500, or with a response after
     which the connection is closed. ``slow_share`` is the share of the runs that take
-    ``SLOW_WORK_S``.
+    ``SLOW_WORK_S``. ``pause_share`` is the share of the requests that are turned away with a
+    ``Retry-After`` of ``PAUSE_S``. An upstream that leaves says so in its answers for
+    ``quiet_leave_s`` before it reports that it drains.
     """
 
     upstream_id: str
@@ -63,6 +69,8 @@
     drain_s: float = 2.0
     fail_share: float = 0.0
     slow_share: float = 0.0
+    pause_share: float = 0.0
+    quiet_leave_s: float = 0.0
 
 
 @dataclass(eq=False, slots=True, kw_only=True)
@@ -89,7 +97,9 @@
         self._runs: set[_Run] = set()
         self._slots = trio.Semaphore(settings.slots)
         self._random = random.Random(settings.upstream_id)
+        self._wishes = random.Random(f"wishes/{settings.upstream_id}")
         self._last_ran_at = time.monotonic()
+        self._leaving = False
         self.draining = False
 
     @property
@@ -137,10 +147,13 @@
         return status == 200
 
     async def drain(self) -> None:
-        """Report that the upstream is draining, serve for ``drain_s`` and remove the entry.
+        """Say so in answers, report that the upstream is draining, serve on and remove the entry.
 
-        The report is repeated until the store accepts it. The removal is tried once.
+        The upstream serves for ``quiet_leave_s`` before the report and ``drain_s`` after it. The
+        report is repeated until the store accepts it. The removal is tried once.
         """
+        self._leaving = True
+        await trio.sleep(self._settings.quiet_leave_s)
         self.draining = True
         while not await self.report_once():
             await trio.sleep(REPORT_INTERVAL_S / 2)
@@ -168,7 +181,7 @@
     async def _grant(self, exchange: Exchange, order: dict[str, Any]) -> None:
         first, last, fence = order["from"], order["to"], order["fence"]
         if max(self._fencing_tokens[first : last + 1]) > fence:
-            await exchange.respond_json(409, {})
+            await exchange.respond_json(409, {}, headers=self._leaving_mark())
             return
         count = last - first + 1
         # The lease starts when the order arrives. If the process was paused, the order may have
@@ -181,7 +194,7 @@
         self._records.add(
             "held", first=first, last=last, fence=fence, until=until, life=self._incarnation
         )
-        await exchange.respond_json(200, {})
+        await exchange.respond_json(200, {}, headers=self._leaving_mark())
 
     async def _release(self, exchange: Exchange, order: dict[str, Any]) -> None:
         first, last, fence = order["from"], order["to"], order["fence"]
@@ -193,7 +206,8 @@
             await run.ended.wait()
         self._records.add("released", first=first, last=last, fence=fence, life=self._incarnation)
         token = f"{self._random.getrandbits(64):016x}"
-        await exchange.respond_json(200, {}, headers={_wire.HANDOVER: token})
+        headers = {_wire.HANDOVER: token, **self._leaving_mark()}
+        await exchange.respond_json(200, {}, headers=headers)
 
     # Requests of callers
 
@@ -206,6 +220,10 @@
         if not request_id:
             await self._reject(exchange, 400)
             return
+        self._records.add("arrived", id=request_id, life=self._incarnation)
+        if self._wishes.random() < self._settings.pause_share:
+            await self._reject(exchange, 503, pause_s=round(self._wishes.uniform(*PAUSE_S), 2))
+            return
         if not self._owns(key):
             await self._reject(exchange, 421)
             return
@@ -272,20 +290,29 @@
             _wire.UPSTREAM_ID: self._settings.upstream_id,
             _wire.SIGNATURE: digest,
             "content-length": str(len(data)),
+            **self._leaving_mark(),
         }
         if drawn > 1 - share:
             headers["connection"] = "close"
         await exchange.start_response(200 if succeeded and drawn >= 2 * share else 500, headers)
         await exchange.send_body(data, more=False)
 
-    async def _reject(self, exchange: Exchange, status: int) -> None:
+    def _leaving_mark(self) -> dict[str, str]:
+        return {_wire.LEAVING: "1"} if self._leaving else {}
+
+    async def _reject(
+        self, exchange: Exchange, status: int, *, pause_s: float = FULL_PAUSE_S
+    ) -> None:
+        request_id = exchange.header(_wire.REQUEST_ID)
         headers = {
             _wire.NOT_EXECUTED: "1",
-            _wire.REQUEST_ID: exchange.header(_wire.REQUEST_ID),
+            _wire.REQUEST_ID: request_id,
             _wire.UPSTREAM_ID: self._settings.upstream_id,
+            **self._leaving_mark(),
         }
         if status == 503:
-            headers["retry-after"] = "0.1"
+            headers[_wire.RETRY_AFTER] = str(pause_s)
+            self._records.add("turned-away", id=request_id, life=self._incarnation, pause_s=pause_s)
         await exchange.respond_json(status, {}, headers=headers)
 
 
