Soak: a kill after a planned stop excuses what the kill cuts off

Cause, by reading: a host that was started again within 7 s of its SIGTERM and then killed would have counted as one whose stop lost requests.

Change: another signal to the host between the stop and the end of the connection excuses it.

Evidence: soak/checks.feature, a new pair of records; without the change the kept one gave a finding.

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -16,6 +16,7 @@
       | completed-without-run | a request that completed without a run       | a completed request that ran            |
       | lost-at-stop          | a request sent 3.1 s after a stop and cut    | a request sent 2.9 s after a stop and cut |
       | lost-at-stop          | a running request cut 4 s after a stop       | a request answered 4 s after a stop     |
+      | lost-at-stop          | a running request cut 4 s after a stop       | a running request cut by a kill after a stop |
       | lost-at-stop          | a request without a run, closed after 0.5 s  | a request without a run, closed at once |
       | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 1.9 s after a leaving answer |
       | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 2.1 s after it to a later start |
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -92,6 +92,10 @@
     "a request sent 3.1 s after a stop and cut": _stopped(sent=4.1, closed=6.6),
     "a request sent 2.9 s after a stop and cut": _stopped(sent=3.9, closed=6.6),
     "a running request cut 4 s after a stop": _stopped(sent=3.0, closed=5.0),
+    "a running request cut by a kill after a stop": [
+        {"kind": "signalled", "at": 4.9, "name": "h", "signum": 9},
+        *_stopped(sent=3.0, closed=5.0),
+    ],
     "a request answered 4 s after a stop": _stopped(sent=3.0, closed=5.0, status=200),
     "a request without a run, closed after 0.5 s": _stopped(sent=3.0, closed=3.5, runs=False),
     "a request without a run, closed at once": _stopped(sent=3.0, closed=3.1, runs=False),
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -157,13 +157,19 @@
 
 
 def _check_stops(records: Sequence[Record]) -> Iterator[Finding]:
-    """Find requests that a host took and left without an answer because of a planned stop."""
+    """Find requests that a host took and left without an answer because of a planned stop.
+
+    A kill or a pause of the host after the stop excuses it.
+    """
+    others: dict[str, list[float]] = defaultdict(list)
     stops: dict[str, list[float]] = defaultdict(list)
     runs: dict[str, list[float]] = defaultdict(list)
     ended: dict[str, Any] = {}
     for record in records:
         if record["kind"] == "signalled" and record["signum"] == signal.SIGTERM:
             stops[record["name"]].append(record["at"])
+        elif record["kind"] == "signalled":
+            others[record["name"]].append(record["at"])
         elif record["kind"] == "run":
             runs[record["id"]].append(record["at"])
         elif record["kind"] == "ended":
@@ -177,6 +183,8 @@
         for stopped_at in stops[record["host"]]:
             if not stopped_at <= closed <= stopped_at + STOP_LIMIT_S:
                 continue
+            if any(stopped_at <= at <= closed for at in others[record["host"]]):
+                continue
             at_work_until: float = ended.get(request_id) or closed
             at_work = at_work_until > stopped_at + GRACE_S * 5 / 6
             if request_id in runs and sent <= stopped_at + EARLY_S and at_work:
