Keep an idle connection that a caller may still use

Cause, by reading and by tests: a connection kept the limits of its start, so that one whose limit had grown was closed while callers still used it; and if the process was busy for over 10 ms when a connection was to close, input that had arrived meanwhile was discarded. Both act on the same lines and landed together.

Change: limits are read when they are used; unread input is looked for before an idle connection closes.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -41,6 +41,17 @@
     When a caller sends nothing for 0.5 s
     Then the connection has been closed
 
+  Scenario: a longer idle limit that comes into force holds for open connections
+    Given a listener whose handler takes "0" s
+    And the idle limit grows from 0.3 to 1 s, 0.1 s after a caller has connected
+    When a caller sends its first request after 0.6 s
+    Then the responses are "200 /1"
+
+  Scenario: a request that arrives while the process is busy and an idle connection closes is served
+    Given a listener whose handler takes "0" s
+    When 10 requests each arrive while the process is busy and their idle connection is to close
+    Then all of them are answered
+
   Scenario: a request head that does not end is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "GET / HTTP/1.1~Host" and waits
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -4,11 +4,13 @@
 
 import socket
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 import h11
 import trio
+import trio.testing
 from behave import given
 from behave import then
 from behave import when
@@ -24,6 +26,8 @@
     max_header_bytes=4096, max_body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.3
 )
 ADDRESS = "127.0.0.1:0"
+BUSY_S = 0.03
+"""Longer than a connection that is to close waits for input."""
 
 
 class CallerSteps:
@@ -36,6 +40,27 @@
         context.handled_requests = []
         context.cancelled_at = None
 
+    @staticmethod
+    @given(
+        "the idle limit grows from {before:g} to {after:g} s, {at:g} s after a caller has connected"
+    )
+    def growing_limit(context: Any, before: float, after: float, at: float) -> None:
+        context.idle_limits = (before, after, at)
+
+    @staticmethod
+    def _limits(context: Any) -> CallerLimits:
+        if not hasattr(context, "idle_limits"):
+            return LIMITS
+        before, after, at = context.idle_limits
+        has_changed = time.monotonic() - getattr(context, "started", time.monotonic()) >= at
+        return replace(LIMITS, idle_timeout_s=after if has_changed else before)
+
+    @staticmethod
+    @when("a caller sends its first request after {seconds:g} s")
+    def late_request(context: Any, seconds: float) -> None:
+        request = b"GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        CallerSteps._exchange(context, request, pause_s=seconds)
+
     @staticmethod
     async def _handle(context: Any, req: CallerRequest) -> CallerResponse:
         seconds = context.durations[min(len(context.handled_requests), len(context.durations) - 1)]
@@ -52,7 +77,12 @@
 
     @staticmethod
     def _exchange(
-        context: Any, data: bytes, *, disconnect_s: float | None = None, stop_s: float | None = None
+        context: Any,
+        data: bytes,
+        *,
+        pause_s: float = 0.0,
+        disconnect_s: float | None = None,
+        stop_s: float | None = None,
     ) -> None:
         async def handle(req: CallerRequest) -> CallerResponse:
             return await CallerSteps._handle(context, req)
@@ -61,12 +91,15 @@
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
             address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
             listeners[0].socket.close()
-            server = HttpServer(address=address, limits=lambda: LIMITS, handle=handle)
+            server = HttpServer(
+                address=address, limits=lambda: CallerSteps._limits(context), handle=handle
+            )
             async with trio.open_nursery() as nursery:
                 await nursery.start(server.serve)
                 host, _, port = address.rpartition(":")
                 stream = await trio.open_tcp_stream(host, int(port))
                 context.started = time.monotonic()
+                await trio.sleep(pause_s)
                 if data:
                     await stream.send_all(data)
                 if stop_s is not None:
@@ -119,6 +152,48 @@
 
         trio.run(main)
 
+    @staticmethod
+    @when(
+        "{count:d} requests each arrive while the process is busy and their idle connection is "
+        "to close"
+    )
+    def requests_while_busy(context: Any, count: int) -> None:
+        async def handle(req: CallerRequest) -> CallerResponse:
+            return await CallerSteps._handle(context, req)
+
+        async def main() -> None:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                address = probe.getsockname()
+            server = HttpServer(
+                address=f"127.0.0.1:{address[1]}", limits=lambda: LIMITS, handle=handle
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                for _ in range(count):
+                    caller = socket.create_connection(address)
+                    await trio.sleep(0.05)
+                    for conn in list(server._connections):
+                        conn.close_soon()
+                    # The connection is now about to close unless input arrives.
+                    await trio.testing.wait_all_tasks_blocked()
+                    caller.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                    time.sleep(BUSY_S)
+                    caller.setblocking(False)
+                    stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+                    with trio.move_on_after(2.0):
+                        context.answers.append(await stream.receive_some(100))
+                    await stream.aclose()
+                nursery.cancel_scope.cancel()
+
+        context.answers = []
+        trio.run(main)
+
+    @staticmethod
+    @then("all of them are answered")
+    def all_answered(context: Any) -> None:
+        assert all(raw.startswith(b"HTTP/1.1 200") for raw in context.answers), context.answers
+
     @staticmethod
     async def _read(context: Any, stream: trio.SocketStream) -> None:
         raw = b""
--- a/features/steps/fuzz_parsers_steps.py
+++ b/features/steps/fuzz_parsers_steps.py
@@ -159,7 +159,7 @@
         near, far = trio.testing.memory_stream_pair()
         await far.send_all(data)
         await far.send_eof()
-        await CallerConnection(stream=near, limits=LIMITS, handle=handle).run()
+        await CallerConnection(stream=near, limits=lambda: LIMITS, handle=handle).run()
 
     trio.run(main)
 
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -65,9 +66,10 @@
         self,
         *,
         stream: trio.SocketStream,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
     ) -> None:
+        """``limits`` returns the limits in force, which may change while the connection is open."""
         self._stream = stream
         self._limits = limits
         self._handle = handle
@@ -79,6 +81,7 @@
         self._reading_done = False
         self._pending: deque[_Exchange] = deque()
         self._idle_scope = trio.CancelScope()
+        self._idle_since = trio.current_time()
         self.closing = False
         self.close_after_next = False
         self.unexpected_errors = 0
@@ -118,7 +121,7 @@
             await trio.aclose_forcefully(self._stream)
 
     def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits().max_header_bytes)
 
     # Receiving.
 
@@ -226,7 +229,8 @@
                     self._reading_done = self._reading_done or last
                     await self._send(exchange.parser, exchange.response, close=last)
                 self._pending.popleft()
-                self._idle_scope.deadline = trio.current_time() + self._limits.idle_timeout_s
+                self._idle_since = trio.current_time()
+                self._idle_scope.deadline = self._idle_until
                 self._notify_progress()
                 if self._reading_done and not self._pending:
                     scope.cancel()
@@ -240,7 +244,7 @@
         if head is None:
             return None
         received_at = trio.current_time()
-        if _head_size(head) > self._limits.max_header_bytes:
+        if _head_size(head) > self._limits().max_header_bytes:
             # The parser only limits heads that do not arrive in one piece.
             raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
@@ -262,25 +266,44 @@
         )
 
     async def _read_head(self) -> h11.Request | None:
-        self._idle_scope = trio.CancelScope(
-            deadline=trio.current_time() + self._limits.idle_timeout_s
-        )
-        if self.closing:
-            self._idle_scope.cancel()
-        with self._idle_scope:
-            await self._wait_for_input()
+        self._idle_since = trio.current_time()
+        while not self._parser.trailing_data[0] and not self.closing:
+            self._idle_scope = trio.CancelScope(deadline=self._idle_until)
+            with self._idle_scope:
+                await self._wait_for_input()
+            if trio.current_time() >= self._idle_until:
+                break
+            # A longer limit came into force; callers may use the connection until it has passed.
         with trio.move_on_after(LAST_INPUT_S):
             # A request that reached this host before the connection is closed is still read.
             await self._wait_for_input()
+        if not self._parser.trailing_data[0] and self._has_unread_input():
+            # The process was busy for longer than that while the request arrived.
+            with trio.move_on_after(LINGER_S):
+                await self._wait_for_input()
         if not self._parser.trailing_data[0]:
             return None
-        with trio.move_on_after(self._limits.header_timeout_s):
+        with trio.move_on_after(self._limits().header_timeout_s):
             event = await self._next_event()
             return event if isinstance(event, h11.Request) else None
         raise h11.RemoteProtocolError(
             "the request head did not arrive in time", error_status_hint=408
         )
 
+    @property
+    def _idle_until(self) -> float:
+        """When the connection has been idle for as long as the limits in force allow."""
+        return self._idle_since + self._limits().idle_timeout_s
+
+    def _has_unread_input(self) -> bool:
+        sock = getattr(self._stream, "socket", None)
+        if sock is None:
+            # Streams in memory, as in tests, hand their input over at once.
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def _wait_for_input(self) -> None:
         while not self._parser.trailing_data[0]:
             await self._received.wait()
@@ -292,7 +315,7 @@
                 event = await self._next_event()
                 if isinstance(event, h11.Data):
                     body += event.data
-                    if len(body) > self._limits.max_body_bytes:
+                    if len(body) > self._limits().max_body_bytes:
                         raise h11.RemoteProtocolError(
                             "the request body is too large", error_status_hint=413
                         )
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -125,7 +125,7 @@
 
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
-        conn = CallerConnection(stream=stream, limits=self._limits(), handle=self._handle)
+        conn = CallerConnection(stream=stream, limits=self._limits, handle=self._handle)
         conn.close_after_next = self._closing
         self._connections.add(conn)
         try:
