Keep the pause of a later start, and believe complete news of unknown revision

Change: an earlier start's pause is ignored once a later one has asked; revision 0 counts as newest.

Evidence: forward/pauses.feature (also the drawn events) and fleet_view/view.feature failed before.

--- a/features/fleet_view/view.feature
+++ b/features/fleet_view/view.feature
@@ -60,6 +60,11 @@
     When at revision 9 the registry has "u1, u2, u3"
     Then the view has "u1, u2, u3"
 
+  Scenario: a complete read of unknown revision removes what it lacks
+    When another host reports "u1, u2, u3, u4" as of revision 8
+    And at revision 0 the registry has "u1, u2, u3"
+    Then the view has "u1, u2, u3"
+
   Scenario: an entry of an earlier incarnation does not replace a later one
     When "u2" registers with the start time 9
     And "u2" registers with the start time 1
--- a/features/forward/pauses.feature
+++ b/features/forward/pauses.feature
@@ -8,6 +8,11 @@
     Then "u1" of start 1 is blocked as "asked to wait"
     And "u1" of start 2 is not blocked
 
+  Scenario: a late answer of an earlier start does not end the pause of the next one
+    When "u1" of start 2 asks to wait 5 s
+    And "u1" of start 1 asks to wait 1 s
+    Then "u1" of start 2 is blocked as "asked to wait"
+
   Scenario: a shorter pause does not end a longer one
     When "u1" of start 1 asks to wait 5 s
     And "u1" of start 1 asks to wait 1 s
--- a/features/steps/forward_pauses_steps.py
+++ b/features/steps/forward_pauses_steps.py
@@ -18,7 +18,9 @@
 Event = tuple[str, str, float]
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["pause", "pass", "answer", "failure", "full", "restart", "choose"]),
+        st.sampled_from(
+            ["pause", "late pause", "pass", "answer", "failure", "full", "restart", "choose"]
+        ),
         st.sampled_from(UPSTREAMS),
         st.floats(min_value=0.0, max_value=6.0),
     ),
@@ -98,6 +100,8 @@
             if kind == "pause":
                 pauses[entry.life] = max(now + seconds, pauses.get(entry.life, 0.0))
                 state.note_pause(entry.life, now + seconds)
+            elif kind == "late pause":
+                state.note_pause(_entry(name, max(1, starts[name] - 1)).life, now)
             elif kind == "pass":
                 now += seconds
             elif kind == "answer":
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -188,7 +188,8 @@
 
         Upstreams that are missing after an outage are removed by the first call that comes more
         than ``RETURN_LIMIT_S`` later, if they have not returned. A complete read that is older than
-        the newest news removes nothing, since an upstream that it lacks may have joined since.
+        the newest news removes nothing, since an upstream that it lacks may have joined since. A
+        revision of 0 is not known.
         """
         now = self._clock.now()
         after_outage = (
@@ -198,7 +199,7 @@
         )
         self._reads_failed = False
         self.registry_read_at = now - age_s
-        is_newest = change.revision >= self.registry_revision
+        is_newest = change.revision == 0 or change.revision >= self.registry_revision
         self.registry_revision = max(self.registry_revision, change.revision)
         removed = {name for name, entry in change.entries.items() if entry is None}
         if change.complete and is_newest:
--- a/src/acaciasaddle/forward/_upstreams.py
+++ b/src/acaciasaddle/forward/_upstreams.py
@@ -75,10 +75,15 @@
     def note_pause(self, life: UpstreamIncarnation, until: float) -> None:
         """Record that an incarnation wants no request of this host until a given time.
 
-        A longer time that it asked for before holds on.
+        A longer time that it asked for before holds on, and so does one that a later incarnation
+        asked for: answers of the earlier one may still arrive.
         """
-        if self.paused is not None and self.paused[0] == life:
-            until = max(until, self.paused[1])
+        if self.paused is not None:
+            paused_life, paused_until = self.paused
+            if paused_life.started_ms > life.started_ms:
+                return
+            if paused_life == life:
+                until = max(until, paused_until)
         self.paused = (life, until)
 
     def paused_until(self, entry: UpstreamEntry, now: float) -> float | None:
