Soak: a pause that reached no host binds none

Cause, from the records: the upstream was paused; it took request 9-58 up 0.6 s after host-1 had answered it 504 at its deadline and closed the connection, and turned it away then. The rule binds a host that was answered; this one was not, so the case is allowed. Ruled out: a pause that the host noted and ignored; its log has no such line for that time.

Change: the check leaves out what an upstream asks after the attempt has ended.

Evidence: soak/checks.feature, a new pair of records; the kept one gave a finding before.

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -22,6 +22,7 @@
       | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 2.1 s after it to a later start |
       | sent-in-pause         | three requests in the rest of a pause        | two requests in the rest of a pause     |
       | sent-in-pause         | three requests in the rest of a pause        | three requests within 0.5 s of it       |
+      | sent-in-pause         | three requests in the rest of a pause        | three requests after a pause that a host which had given up was told of |
       | foreign-answer        | a response to another request                | a completed request that ran            |
 
   Scenario: a seed always gives the same faults, and those of one target do not overlap
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -67,8 +67,11 @@
     ]
 
 
-def _in_pause(times: list[float]) -> Records:
-    """Return the records of requests that arrive after a request for a pause of 2 s at 1 s."""
+def _in_pause(times: list[float], *, given_up_at: float = 9.0) -> Records:
+    """Return the records of requests that arrive after a request for a pause of 2 s at 1 s.
+
+    The request that was turned away was given up, or answered, at ``given_up_at``.
+    """
     first = {"kind": "arrived", "at": 1.0, "id": "r0", "life": "u1@1"}
     records = [first, {**first, "kind": "turned-away", "pause_s": 2.0}]
     records += [
@@ -79,6 +82,7 @@
         {**_attempt("not-run"), "id": f"r{number}", "started": 0.9, "at": 9.0, "status": 503}
         for number in range(len(times) + 1)
     ]
+    attempts[0]["at"] = given_up_at
     return records + attempts
 
 
@@ -88,6 +92,9 @@
     "a request sent 2.1 s after it to a later start": _after_leaving(sent=3.1, life="u1@2"),
     "three requests in the rest of a pause": _in_pause([1.6, 2.0, 2.9]),
     "two requests in the rest of a pause": _in_pause([1.6, 2.9]),
+    "three requests after a pause that a host which had given up was told of": _in_pause(
+        [1.6, 2.0, 2.9], given_up_at=0.9
+    ),
     "three requests within 0.5 s of it": _in_pause([1.1, 1.2, 1.4]),
     "a request sent 3.1 s after a stop and cut": _stopped(sent=4.1, closed=6.6),
     "a request sent 2.9 s after a stop and cut": _stopped(sent=3.9, closed=6.6),
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -227,9 +227,11 @@
 def _check_pauses(records: Sequence[Record]) -> Iterator[Finding]:
     """Find upstreams that a host sent more than a few requests after they asked it to wait.
 
-    A signal to the host in between, or a fault on the way to the upstream, excuses it.
+    A signal to the host in between, or a fault on the way to the upstream, excuses it. What an
+    upstream asks after the host has given the request up reaches no host: its connection is closed.
     """
-    hosts = {record["id"]: record["host"] for record in records if record["kind"] == "attempt"}
+    attempts = {record["id"]: record for record in records if record["kind"] == "attempt"}
+    hosts = {request_id: record["host"] for request_id, record in attempts.items()}
     arrived: dict[tuple[str, str], list[float]] = defaultdict(list)
     for record in records:
         if record["kind"] == "arrived" and record["id"] in hosts:
@@ -239,6 +241,8 @@
         if record["kind"] != "turned-away" or record["id"] not in hosts:
             continue
         host, life, at = hosts[record["id"]], record["life"], record["at"]
+        if at > attempts[record["id"]]["at"]:
+            continue
         ends_at = at + record["pause_s"]
         early = [when for when in arrived[host, life] if at + PAUSE_SLACK_S < when < ends_at]
         if len(early) <= MAX_IN_PAUSE or _is_disturbed(records, life, at, ends_at):
