--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -18,6 +18,7 @@
       | lost-at-stop          | a running request cut 4 s after a stop       | a request answered 4 s after a stop     |
       | lost-at-stop          | a running request cut 4 s after a stop       | a running request cut by a kill after a stop |
       | lost-at-stop          | a request without a run, closed after 0.5 s  | a request without a run, closed at once |
+      | lost-at-stop          | a request without a run, closed after 0.5 s  | a request whose connection was refused after 0.5 s |
       | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 1.9 s after a leaving answer |
       | used-after-leaving    | a request sent 2.1 s after a leaving answer  | a request sent 2.1 s after it to a later start |
       | sent-in-pause         | three requests in the rest of a pause        | two requests in the rest of a pause     |
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -46,11 +46,11 @@
     }
 
 
-def _stopped(*, sent: float, closed: float, runs: bool = True, status: int = 0) -> Records:
+def _stopped(*, sent: float | None, closed: float, runs: bool = True, status: int = 0) -> Records:
     """Return the records of a request to a host that gets SIGTERM at 1 s."""
-    attempt = {**_attempt("unknown"), "started": sent, "at": closed, "status": status}
+    attempt = {**_attempt("unknown"), "started": 2.9, "sent": sent, "at": closed, "status": status}
     records = [{"kind": "signalled", "at": 1.0, "name": "h", "signum": 15}, attempt]
-    return [*records, _run(sent)] if runs else records
+    return [*records, _run(sent)] if runs and sent is not None else records
 
 
 def _after_leaving(*, sent: float, life: str = "u1@1") -> Records:
@@ -105,6 +105,7 @@
     ],
     "a request answered 4 s after a stop": _stopped(sent=3.0, closed=5.0, status=200),
     "a request without a run, closed after 0.5 s": _stopped(sent=3.0, closed=3.5, runs=False),
+    "a request whose connection was refused after 0.5 s": _stopped(sent=None, closed=3.5),
     "a request without a run, closed at once": _stopped(sent=3.0, closed=3.1, runs=False),
     "a grant while another lease runs": [
         _held(1.0, "u1@1", until=5.0),
--- a/src/acaciasaddle/emulator/soak/_callers.py
+++ b/src/acaciasaddle/emulator/soak/_callers.py
@@ -37,7 +37,8 @@
     """A connection to one host.
 
     It is opened by the first request, and again after an error, a timeout or a response after which
-    it was closed.
+    it was closed. ``sent_at`` is when the last request was about to be written, on the monotonic
+    clock, or ``None`` if its connection could not be opened.
     """
 
     def __init__(self, *, address: str, deadline_s: float = DEADLINE_S) -> None:
@@ -46,6 +47,7 @@
         self._host, self._port = host, int(port)
         self._origin = httpcore.Origin(b"http", host.encode(), self._port)
         self._conn: httpcore.AsyncHTTP11Connection | None = None
+        self.sent_at: float | None = None
 
     async def send(
         self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes
@@ -56,6 +58,7 @@
         )
         length = [(b"Content-Length", str(len(body)).encode())] if body else []
         req = httpcore.Request(method, url, headers=headers + length, content=body)
+        self.sent_at = None
         try:
             with trio.fail_after(self._deadline_s + EXTRA_WAIT_S):
                 if self._conn is None or not self._conn.is_available():
@@ -64,6 +67,7 @@
                         origin=self._origin,
                         stream=await httpcore.TrioBackend().connect_tcp(self._host, self._port),
                     )
+                self.sent_at = time.monotonic()
                 resp = await self._conn.handle_async_request(req)
                 await resp.aread()
                 await resp.aclose()
@@ -118,6 +122,7 @@
             key=key,
             host=host_id,
             started=started,
+            sent=conn.sent_at,
             status=resp.status if resp else 0,
             leaving=resp is not None and (LEAVING_MARK, b"1") in resp.headers,
             outcome=classify_outcome(request_id, _body(request_id, once), resp),
--- a/src/acaciasaddle/emulator/soak/_checks.py
+++ b/src/acaciasaddle/emulator/soak/_checks.py
@@ -175,9 +175,9 @@
         elif record["kind"] == "ended":
             ended[record["id"]] = record["at"]
     for record in records:
-        if record["kind"] != "attempt" or record["status"]:
+        if record["kind"] != "attempt" or record["status"] or record["sent"] is None:
             continue
-        sent, closed, request_id = record["started"], record["at"], record["id"]
+        sent, closed, request_id = record["sent"], record["at"], record["id"]
         if request_id not in runs and closed - sent <= UNREAD_S:
             continue
         for stopped_at in stops[record["host"]]:
