Log and count the connections of callers that a host closes

Cause: a connection that a host closes by its own decision left no line, so the logs could not tell whether a request that got no answer arrived on one of them. Change: one line for each such close with the reason, the number of requests, the idle time and the bytes that were discarded; counters for both; the line of a configuration that comes into force has its idle limit. No decision is changed.

--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -17,6 +17,7 @@
 
 from acaciasaddle.forward import CallerRequest
 from acaciasaddle.forward import CallerResponse
+from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
 
@@ -24,6 +25,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from acaciasaddle.observe import Metrics
     from acaciasaddle.routing import CallerLimits
 
 RECEIVE_BYTES = 65_536
@@ -68,8 +70,10 @@
         stream: trio.SocketStream,
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
+        metrics: Metrics | None = None,
     ) -> None:
         """``limits`` returns the limits in force, which may change while the connection is open."""
+        self._metrics = metrics or NullMetrics()
         self._stream = stream
         self._limits = limits
         self._handle = handle
@@ -82,6 +86,9 @@
         self._pending: deque[_Exchange] = deque()
         self._idle_scope = trio.CancelScope()
         self._idle_since = trio.current_time()
+        self._close_reason = ""
+        self._discarded = 0
+        self._requests = 0
         self.closing = False
         self.close_after_next = False
         self.unexpected_errors = 0
@@ -101,6 +108,7 @@
         finally:
             with trio.move_on_after(LINGER_S, shield=True):
                 await self._close()
+            self._log_close()
 
     def close_soon(self) -> None:
         """Close the connection after the requests in progress, or at once if there are none.
@@ -113,13 +121,30 @@
     async def _close(self) -> None:
         try:
             await self._stream.send_eof()
-            while not self._eof_received and await self._stream.receive_some(RECEIVE_BYTES):
-                pass
+            while not self._eof_received and (
+                data := await self._stream.receive_some(RECEIVE_BYTES)
+            ):
+                self._discarded += len(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("connection to caller broken while closing")
         finally:
             await trio.aclose_forcefully(self._stream)
 
+    def _log_close(self) -> None:
+        """Log and count a close that this host decided on."""
+        if not self._close_reason:
+            return
+        self._metrics.count(f"callers.closed.{self._close_reason.replace(' ', '_')}")
+        if self._discarded:
+            self._metrics.count("callers.input_discarded")
+        log.info(
+            "connection closed",
+            reason=self._close_reason,
+            requests=self._requests,
+            idle_s=round(trio.current_time() - self._idle_since, 3),
+            discarded_bytes=self._discarded,
+        )
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits().max_header_bytes)
 
@@ -134,7 +159,9 @@
                 data = b""
             if not data:
                 break
-            if not self._reading_done:
+            if self._reading_done:
+                self._discarded += len(data)
+            else:
                 self._parser.receive_data(data)
             self._unread += len(data)
             self._notify_received()
@@ -168,6 +195,7 @@
                 req = await self._read_request()
             except h11.RemoteProtocolError as exc:
                 log.info("request rejected", reason=str(exc), status=exc.error_status_hint)
+                self._close_reason = "rejected request"
                 self.closing = self._reading_done = True
                 exchange = _Exchange(self._parser)
                 exchange.response = CallerResponse(status=exc.error_status_hint, headers=[])
@@ -176,6 +204,7 @@
                 return
             if req is None:
                 break
+            self._requests += 1
             exchange = _Exchange(self._parser)
             rest, _ = self._parser.trailing_data
             self._unread = len(rest)
@@ -186,6 +215,8 @@
             if rest:
                 self._parser.receive_data(rest)
             self._enqueue(exchange)
+            if self.closing:
+                self._close_reason = "last request"
             nursery.start_soon(self._serve, exchange, req)
             while len(self._pending) >= MAX_PIPELINED:
                 await self._progress.wait()
@@ -282,6 +313,7 @@
             with trio.move_on_after(LINGER_S):
                 await self._wait_for_input()
         if not self._parser.trailing_data[0]:
+            self._close_reason = "stopping" if self.closing else "idle"
             return None
         with trio.move_on_after(self._limits().header_timeout_s):
             event = await self._next_event()
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -11,6 +11,7 @@
 from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
 from acaciasaddle.kernel import open_listening_socket
+from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
 
@@ -20,6 +21,7 @@
 
     from acaciasaddle.forward import CallerRequest
     from acaciasaddle.forward import CallerResponse
+    from acaciasaddle.observe import Metrics
     from acaciasaddle.routing import CallerLimits
 
 BACKLOG = 512
@@ -48,7 +50,9 @@
         address: str,
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or NullMetrics()
         self._address = address
         self._limits = limits
         self._handle = handle
@@ -126,7 +130,9 @@
 
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
-        conn = CallerConnection(stream=stream, limits=self._limits, handle=self._handle)
+        conn = CallerConnection(
+            stream=stream, limits=self._limits, handle=self._handle, metrics=self._metrics
+        )
         conn.close_after_next = self._closing
         self._connections.add(conn)
         try:
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -141,7 +141,12 @@
                     "older configuration ignored", version=cfg.version, in_force=current.version
                 )
             return
-        log.info("configuration in force", version=cfg.version, routes=len(cfg.routes))
+        log.info(
+            "configuration in force",
+            version=cfg.version,
+            routes=len(cfg.routes),
+            idle_timeout_s=cfg.limits.idle_timeout_s,
+        )
         self.configuration = cfg
         self.routes = RouteTable(cfg=cfg)
         self._notify()
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -108,7 +108,10 @@
         self.coordinator.linked = self.links.linked
         self.forwarder.total_busy = self.links.requests_in_progress
         self.callers = HttpServer(
-            address=settings.caller_address, limits=self._limits, handle=self.forwarder.handle
+            address=settings.caller_address,
+            limits=self._limits,
+            handle=self.forwarder.handle,
+            metrics=self.metrics,
         )
         servers = [self.callers]
         if settings.metrics_address is not None:
