Look once more for waiting connections before a listener closes

Cause: a stopping listener closed its socket when no connection came for 10 ms. On a busy process other tasks run between the end of that time and the close, and the kernel resets what has arrived since. Change: the check that none waits and the close are one step.

--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -8,6 +8,7 @@
 import trio
 
 from acaciasaddle.callers._connection import CallerConnection
+from acaciasaddle.callers._input import has_input
 from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
 from acaciasaddle.kernel import open_listening_socket
@@ -107,13 +108,15 @@
                 conn.close_soon()
 
     async def _accept_waiting(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
-        """Accept the connections that were made before the stop: closing would reset them."""
-        accepted = True
-        while accepted:
-            accepted = False
-            with trio.move_on_after(WAITING_CONNECTION_S):
+        """Accept the connections that were made before the stop: closing would reset them.
+
+        The last check that none waits and the close by the caller of this method are one step.
+        """
+        while True:
+            with trio.move_on_after(WAITING_CONNECTION_S) as scope:
                 await self._accept(sock, nursery)
-                accepted = True
+            if scope.cancelled_caught and not has_input(sock):
+                return
 
     async def _accept(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
         try:
