Keep the idle limit that a caller may know when a shorter one comes into force

Cause: when the idle limit shrinks, callers that know only the previous one use connections that this host has already closed, or closes just then. Change: a connection may be idle for as long as the limit at the beginning of its rest or the present one allows, whichever is longer.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -62,6 +62,12 @@
       | because the listener stops  |
       | because of their idle limit |
 
+  Scenario: a connection that was idle for less than the previous limit outlasts a shorter one
+    Given a listener whose handler takes "0" s
+    And the idle limit changes from 1 to 0.3 s, 0.1 s after a caller has connected
+    When a caller sends its first request after 0.6 s
+    Then the responses are "200 /1"
+
   Scenario: a response that did not announce the close is followed by the next request
     Given a listener whose handler takes "0" s
     When a caller sends its next request 0.1 s after a response, and the listener has stopped meanwhile
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -371,17 +371,22 @@
         return True
 
     def _note_idle(self) -> None:
-        """Note that the connection is idle from now on."""
+        """Note that the connection is idle from now on, and the limit that the caller may know."""
         self._idle_since = trio.current_time()
+        self._limit_when_idle_s = self._limits().idle_timeout_s
 
     @property
     def _close_at(self) -> float:
-        """When the connection may be closed if nothing arrives, on trio's clock."""
+        """When the connection may be closed if nothing arrives, on trio's clock.
+
+        A shorter idle limit that comes into force meanwhile does not bind a caller that knows the
+        previous one. A longer one binds this host.
+        """
         if self._pending:
             return math.inf
         if self.closing:
             return self._idle_since + NEXT_REQUEST_S
-        return self._idle_since + self._limits().idle_timeout_s
+        return self._idle_since + max(self._limit_when_idle_s, self._limits().idle_timeout_s)
 
     def _has_input(self) -> bool:
         """Return whether a request has arrived at least in part and is not passed on yet."""
