Answer with 502 when an upstream's response cannot be sent

What callers saw: a response that h11 refuses to send, for example with a header value that it does not allow, closed the connection with neither an answer nor a refusal. Change: 502 is sent in its place, and no body with status 204 or 304. Test: callers/connection.feature, 'a response that cannot be sent as it is still ends with an answer'; all three examples failed before and pass now.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -25,6 +25,17 @@
       | GET / HTTP/1.1~~~                                                                   | 400      | 0     |
       | POST / HTTP/1.1~Host: a~Transfer-Encoding: gzip, chunked~~0~~                       | 501      | 0     |
 
+  Scenario Outline: a response that cannot be sent as it is still ends with an answer
+    Given a listener whose handler returns <response>
+    When a caller sends "GET /1" at once
+    Then the responses are "<answer>"
+
+    Examples:
+      | response                  | answer |
+      | a header with a line feed | 502    |
+      | a status of 1000          | 502    |
+      | status 204 with a body    | 204    |
+
   Scenario: a body over the limit is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "POST / HTTP/1.1~Host: a~Content-Length: 2000~~{2000}"
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -31,6 +31,11 @@
 """Longer than a connection that is to close waits for input."""
 
 
+UNUSUAL_RESPONSES = {
+    "a header with a line feed": CallerResponse(status=200, headers=[(b"X-Note", b"a\nb")]),
+    "a status of 1000": CallerResponse(status=1000, headers=[]),
+    "status 204 with a body": CallerResponse(status=204, headers=[], body=b"text"),
+}
 REST_S = 0.3
 """Longer than a host leaves a caller for its next request."""
 
@@ -89,6 +94,12 @@
         context.handled_requests = []
         context.cancelled_at = None
 
+    @staticmethod
+    @given("a listener whose handler returns {response}")
+    def listener_with_response(context: Any, response: str) -> None:
+        CallerSteps.listener(context, "0")
+        context.response = UNUSUAL_RESPONSES[response]
+
     @staticmethod
     @given(
         "the idle limit changes from {before:g} to {after:g} s, {at:g} s after a caller has "
@@ -120,6 +131,8 @@
         except trio.Cancelled:
             context.cancelled_at = time.monotonic()
             raise
+        if hasattr(context, "response"):
+            return context.response
         body = req.target.encode()
         if req.body:
             body += b" " + req.body
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -42,6 +42,7 @@
 NEXT_REQUEST_S = 0.2
 """A connection is not closed sooner than this after a response that did not announce the close: the
 caller's next request is probably on its way."""
+BODILESS_STATUSES = frozenset({204, 304})
 BODY_TIMEOUT_S = 30.0
 SEND_TIMEOUT_S = 30.0
 
@@ -421,23 +422,26 @@
 
     async def _send(self, parser: h11.Connection, response: CallerResponse, *, close: bool) -> None:
         headers = list(response.headers)
-        if response.status not in (204, 304):
+        if response.status not in BODILESS_STATUSES:
             headers.append((b"Content-Length", str(len(response.body)).encode()))
         if close:
             headers.append((b"Connection", b"close"))
         try:
-            head = parser.send(
-                h11.Response(status_code=response.status, headers=headers, reason=response.reason)
+            head = h11.Response(
+                status_code=response.status, headers=headers, reason=response.reason
             )
-            body = parser.send(h11.Data(data=response.body)) if response.body else b""
-            end = parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             log.warning(
-                "response violates HTTP, connection closed", reason=str(exc), status=response.status
+                "response violates HTTP, answered with 502", reason=str(exc), status=response.status
             )
-            raise trio.BrokenResourceError("the response violates HTTP") from exc
+            await self._send(parser, CallerResponse(status=502, headers=[]), close=close)
+            return
+        data = parser.send(head) or b""
+        if response.body and response.status not in BODILESS_STATUSES:
+            data += parser.send(h11.Data(data=response.body)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send_all((head or b"") + (body or b"") + (end or b""))
+            await self._stream.send_all(data)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the caller did not read the response in time")
 
