Ask for an upload's body after the responses before it

Cause: the interim response 100 was written by the task that reads, at once, also while responses to earlier requests of the connection were due. The caller got it before them, and if both tasks wrote at the same moment the connection ended with an unexpected error. Change: it is sent once no earlier response is due. Test: callers/connection.feature, 'an upload that waits to be asked for its body': '100, 200 /1, 200 /2 abc' before.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -36,6 +36,11 @@
       | a status of 1000          | 502    |
       | status 204 with a body    | 204    |
 
+  Scenario: an upload that waits to be asked for its body is asked after the responses before it
+    Given a listener whose handler takes "0.1, 0" s
+    When a caller sends the raw request "GET /1 HTTP/1.1~Host: a~~POST /2 HTTP/1.1~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
+    Then the responses are "200 /1, 100, 200 /2 abc"
+
   Scenario: a body over the limit is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "POST / HTTP/1.1~Host: a~Content-Length: 2000~~{2000}"
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -392,6 +392,9 @@
             parser.send(h11.EndOfMessage())
             parser.receive_data(raw)
             head = parser.next_event()
+            while isinstance(head, h11.InformationalResponse):
+                context.responses.append(str(head.status_code))
+                head = parser.next_event()
             body = b""
             while isinstance(event := parser.next_event(), h11.Data):
                 body += bytes(event.data)
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -325,6 +325,9 @@
                 "the request has both Content-Length and Transfer-Encoding"
             )
         if fields.get("expect", "").lower() == "100-continue":
+            while self._pending:
+                # Responses are sent in the order of the requests, and this one is no exception.
+                await self._progress.wait()
             data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self._stream.send_all(data or b"")
         body = await self._read_body()
