Do not take a reset during an upload for the end of a response

Callers got a part of a body as a complete 200: an upstream answered an upload without a length, sent a part and reset the connection while the upload was being written.

Cause: a socket reports a reset once. The task that writes the body took it and ended in silence; the task that reads then saw a plain end of the stream, which ends a response without length.

Change: a response that ends with its connection is complete only if the request was sent completely and without an error. The rest of an upload has 1 s for that after the response has ended.

--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -38,6 +38,8 @@
 SMALL_BODY_BYTES = 8_192
 """A body up to this size fits the socket buffers of both ends, so it is sent completely before the
 response is read. A larger one is sent in a task of its own while the response is read."""
+UPLOAD_END_S = 1.0
+"""Time in which the rest of a request must be sent after a response without length has ended."""
 
 MAX_KEEP_ALIVE_DIGITS = 9
 """Digits read of a ``Keep-Alive`` timeout."""
@@ -168,7 +170,8 @@
         try:
             if len(data) <= SMALL_BODY_BYTES:
                 await self._stream.send_all(head + data)
-                return await self._receive(request, matches)
+                response, _ = await self._receive(request, matches)
+                return response
             return await self._send_and_receive(request, head + data, matches)
         except h11.RemoteProtocolError as exc:
             raise self._unknown_outcome(f"malformed response: {exc}") from exc
@@ -182,6 +185,7 @@
         matches: Callable[[Response], bool] | None,
     ) -> Response:
         sent = False
+        send_ended = trio.Event()
 
         async def send() -> None:
             nonlocal sent
@@ -190,27 +194,39 @@
                 sent = True
             except trio.BrokenResourceError:
                 # The upstream stopped reading the body, but may still send a response.
-                return
+                pass
+            send_ended.set()
 
         response: Response | None = None
         failure: Exception | None = None
+        ends_with_connection = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
             try:
-                response = await self._receive(request, matches)
+                response, framed = await self._receive(request, matches)
+                ends_with_connection = not framed and request.method != b"HEAD"
             except (UpstreamError, h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
                 failure = exc
+            if ends_with_connection:
+                with trio.move_on_after(UPLOAD_END_S):
+                    await send_ended.wait()
             nursery.cancel_scope.cancel()
         if failure is not None or response is None:
             raise failure or self._unknown_outcome("no response")
         if not sent:
             # The body was not sent completely, so the connection cannot carry another request.
             self.reusable = False
+            if ends_with_connection:
+                # A socket reports a reset once. If sending takes it, receiving sees a plain end.
+                raise self._unknown_outcome(
+                    "the connection ended during the request, after a response without length"
+                )
         return response
 
     async def _receive(
         self, request: h11.Request, matches: Callable[[Response], bool] | None
-    ) -> Response:
+    ) -> tuple[Response, bool]:
+        """Return the next response that matches, and whether its framing marked its end."""
         while True:
             response, framed = await self._receive_one()
             if matches is None or matches(response):
@@ -234,7 +250,7 @@
             if rest:
                 self._parser.receive_data(rest)
         self._note_reusability(response, framed)
-        return response
+        return response, framed
 
     def _note_reusability(self, response: Response, framed: bool) -> None:
         self.idle_since = trio.current_time()
