--- a/features/steps/http1_client_steps.py
+++ b/features/steps/http1_client_steps.py
@@ -25,6 +25,35 @@
     "a response without length": HEAD + b"\r\n" + BODY,
     "a response with a length": HEAD + b"Content-Length: 4\r\n\r\n" + BODY,
 }
+LENGTH = b"Content-Length: 4\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"4\r\ndone\r\n0\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\n"
+NOT_MODIFIED = b"HTTP/1.1 304 Not Modified\r\n"
+RESPONSES = {
+    "a length and chunks": OK + LENGTH + CHUNKED + b"\r\n" + CHUNKS,
+    "chunks and a length": OK + CHUNKED + LENGTH + b"\r\n" + CHUNKS,
+    "two different lengths": OK + LENGTH + b"Content-Length: 5\r\n\r\ndone!",
+    "a list of different lengths": OK + b"Content-Length: 4, 5\r\n\r\ndone!",
+    "a negative length": OK + b"Content-Length: -4\r\n\r\ndone",
+    "an encoding other than chunks": OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + CHUNKS,
+    "chunks named twice": OK + CHUNKED + CHUNKED + b"\r\n" + CHUNKS,
+    "chunks of version HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + CHUNKED + b"\r\n" + CHUNKS,
+    "a 204 with a length": NO_CONTENT + LENGTH + b"\r\ndone",
+    "a 204 with chunks": NO_CONTENT + CHUNKED + b"\r\n" + CHUNKS,
+    "chunks without the last one": OK + CHUNKED + b"\r\n4\r\ndone\r\n",
+    "less than its length": OK + LENGTH + b"\r\ndon",
+    "chunks": OK + CHUNKED + b"\r\n" + CHUNKS,
+    "two equal lengths": OK + LENGTH + LENGTH + b"\r\ndone",
+    "a 204 without length": NO_CONTENT + b"\r\n",
+    "a 204 with length 0": NO_CONTENT + b"Content-Length: 0\r\n\r\n",
+    "a 204 with a body": NO_CONTENT + b"\r\ndone",
+    "a 304 with a length": NOT_MODIFIED + LENGTH + b"\r\n",
+    "a 304 with a length and its body": NOT_MODIFIED + LENGTH + b"\r\ndone",
+    "a length without its body": OK + LENGTH + b"\r\n",
+    "no length": OK + b"\r\ndone",
+}
 MAX_PAUSE_S = 0.03
 """The pauses before the endings are spread over this time, in which the upload is written."""
 EXCHANGE_TIMEOUT_S = 5.0
@@ -114,3 +143,53 @@
     def not_reusable(context: Any) -> None:
         reusable = sum(result.reusable for result in context.results)
         assert not reusable, f"{reusable} of {len(context.results)}"
+
+
+class HeadSteps:
+    """Guards against responses that are not valid HTTP, and against misread ends of valid ones."""
+
+    @staticmethod
+    @given("an upstream that sends a response with status {status}")
+    def status(context: Any, status: str) -> None:
+        context.answer = b"HTTP/1.1 " + status.encode() + b" Any\r\n" + LENGTH + b"\r\n" + BODY
+
+    @staticmethod
+    @given("an upstream that sends a response of version {version}")
+    def version(context: Any, version: str) -> None:
+        context.answer = version.encode() + b" 200 OK\r\n" + LENGTH + b"\r\n" + BODY
+
+    @staticmethod
+    @given("an upstream that sends {response}")
+    def response(context: Any, response: str) -> None:
+        context.answer = RESPONSES[response]
+
+    @staticmethod
+    @when("a request is sent")
+    def request(context: Any) -> None:
+        HeadSteps.request_with_method(context, "GET")
+
+    @staticmethod
+    @when("a {method} request is sent")
+    def request_with_method(context: Any, method: str) -> None:
+        # An end at once would hide a connection that is used again by mistake.
+        answer = RawAnswer(data=context.answer, pause_s=0.05, ending=Ending.END_AND_READ)
+        context.results = run_exchanges([answer], method=method, body=b"")
+
+    @staticmethod
+    @then('the response has {status:d} and the body "{body}"')
+    def complete(context: Any, status: int, body: str) -> None:
+        (result,) = context.results
+        assert result.response is not None, result.error
+        assert result.response.status == status, result.response.status
+        assert result.response.body == body.encode(), result.response.body
+
+    @staticmethod
+    @then('the response has {status:d} and the body ""')
+    def complete_without_body(context: Any, status: int) -> None:
+        HeadSteps.complete(context, status, "")
+
+    @staticmethod
+    @then("the connection can be used again: {again}")
+    def usable(context: Any, again: str) -> None:
+        (result,) = context.results
+        assert result.reusable is (again == "yes"), result.reusable
