Report a failed write of the dispatcher again at the end of the stream

Callers of the entry hosts got a part of a body as a complete response if the upstream answered an upload without a length and reset the connection.

Cause: httpcore reads the response after a failed write. The write took the reset, which a socket reports once, so reading saw a plain end, which completes a response without length.

Change: the dispatcher's connections keep the failure of a write and raise it when the stream ends. A response with a length stays complete.

--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -50,6 +50,16 @@
     When a dispatch upload of "abc,def" is served
     Then the dispatch result is "504 unknown" after 1 sends
 
+  Scenario Outline: an upload whose upstream answers <how> and stops reading ends as "<result>"
+    Given a dispatch upstream with the script "<action>"
+    When a dispatch upload of "abc,def" with 1 s between chunks is served
+    Then the dispatch result is "<result>" after 1 sends
+
+    Examples: without a length, a response whose connection broke off may be a part of the body
+      | how              | action       | result               |
+      | without a length | early end    | 200 cut, 504 unknown |
+      | with a length    | early answer | 200 complete         |
+
   Scenario Outline: an upload that <what> ends as "<result>"
     When a dispatch upload of "<chunks>" with <pause> s between chunks is served
     Then the dispatch result is "<result>" after 1 sends
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -114,8 +114,9 @@
     """Responds to each request over a memory stream as the next entry of ``script`` says.
 
     Entries: ``answer``, ``silent``, ``reset``, ``head then reset``, ``cut``, ``stall``,
-    ``refuse term``, ``shed``, ``late`` and ``large``. Once the script is used up, each request is
-    treated as with ``answer``.
+    ``refuse term``, ``shed``, ``late``, ``large``, ``early end`` and ``early answer``. The last two
+    are sent before the body is read, without and with a length, and close the connection. Once the
+    script is used up, each request is treated as with ``answer``.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -179,6 +180,11 @@
             return True
         self.received.append(request)
         action = self.script.pop(0) if self.script else "answer"
+        if action in ("early end", "early answer"):
+            length = b"Content-Length: 4\r\n" if action == "early answer" else b""
+            # h11 would send a response without length in chunks.
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n" + length + b"\r\nhalf")
+            return False
         while isinstance(event := await self._next_event(conn, stream), h11.Data):
             request.body += event.data
         if not isinstance(event, h11.EndOfMessage):
--- a/src/acaciasaddle/dispatch/_connections.py
+++ b/src/acaciasaddle/dispatch/_connections.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 import httpcore
 import trio
@@ -26,6 +27,38 @@
 CLOSE_TIMEOUT_S = 1.0
 
 
+class BrokenWrites(httpcore.AsyncNetworkStream):
+    """Reports a failed write again when the stream ends.
+
+    httpcore reads a response after a failed write, since the upstream may have sent one before it
+    stopped reading. A socket reports a reset once, so a write that takes it leaves a plain end of
+    the stream, which completes a response without length.
+    """
+
+    def __init__(self, *, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._broken = False
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        if not data and self._broken:
+            raise httpcore.ReadError("the connection broke while the request was sent")
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self._broken = True
+            raise
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class Connection:
     """An HTTP connection to an upstream.
@@ -130,7 +163,8 @@
             raise
         origin = httpcore.Origin(b"http", host.encode("ascii"), int(port))
         return Connection(
-            http=httpcore.AsyncHTTP11Connection(origin=origin, stream=stream), address=address
+            http=httpcore.AsyncHTTP11Connection(origin=origin, stream=BrokenWrites(stream=stream)),
+            address=address,
         )
 
     async def _close(self, conn: Connection) -> None:
