Check the signature that reaches the caller

A caller could get a 200 without a signature: an upstream that names Response-Signature in its Connection header limits it to that connection, so it is removed before the response is passed on.

Cause: the check looked at the headers as received.

Change: it looks at those that are passed on.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -23,6 +23,7 @@
       | chunked cut | ok     | 200    | done | 2        |
       | unframed reset | ok  | 200    | done | 2        |
       | unsigned    | ok     | 200    | done | 2        |
+      | signature hidden | ok | 200   | done | 2        |
       | garbage     | ok     | 200    | done | 2        |
       | two lengths | ok     | 200    | done | 2        |
       | stale first | ok     | 200    | done | 1        |
@@ -46,6 +47,7 @@
       | chunked cut | 502  |      | 1        |
       | unframed reset | 502 |    | 1        |
       | unsigned  | 502    |      | 1        |
+      | signature hidden | 502 |  | 1        |
       | garbage   | 502    |      | 1        |
       | bare 503  | 502    |      | 1        |
       | bare 429  | 502    |      | 1        |
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -124,6 +124,7 @@
     "fails": "+HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nResponse-Signature: s.2\r\n"
     "Content-Length: 0\r\n\r\n",
     "unsigned": "+HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 4\r\n\r\ndone",
+    "signature hidden": ok(extra="Connection: keep-alive, Response-Signature\r\n"),
     "truncated": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.3\r\n"
     "Content-Length: 9\r\n\r\ndone",
     "unframed": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.4\r\n\r\ndone",
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -470,7 +470,7 @@
 
     def _problem_of(self, resp: Response) -> str:
         """Return why a response may not be passed on to the caller, or an empty string."""
-        if 200 <= resp.status < 300 and not self._dialect.is_signed(resp.fields):
+        if 200 <= resp.status < 300 and not self._dialect.is_signed(_forwarded_fields(resp)):
             return "the response carries no signature"
         if resp.status in PROMISING_STATUSES and not self._dialect.is_not_run(
             resp.status, resp.fields
@@ -652,6 +652,12 @@
         return owners.version if owners is not None else 0
 
 
+def _forwarded_fields(resp: Response) -> dict[str, str]:
+    """Return the fields that reach the caller: an upstream may limit any to its connection."""
+    names = {name.lower().decode("latin-1") for name, _ in end_to_end_headers(resp.headers)}
+    return {name: value for name, value in resp.fields.items() if name in names}
+
+
 def _caller_response(resp: Response) -> CallerResponse:
     headers = end_to_end_headers(resp.headers)
     return CallerResponse(status=resp.status, headers=headers, body=resp.body, reason=resp.reason)
