--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -38,7 +38,10 @@
 SMALL_BODY_BYTES = 8_192
 """A body up to this size fits the socket buffers of both ends, so it is sent completely before the
 response is read. A larger one is sent in a task of its own while the response is read."""
+UPLOAD_END_S = 1.0
+"""Time in which the rest of a request must be sent after a response without length has ended."""
 
+MAX_STATUS = 599
 MAX_KEEP_ALIVE_DIGITS = 9
 """Digits read of a ``Keep-Alive`` timeout."""
 
@@ -168,7 +171,8 @@
         try:
             if len(data) <= SMALL_BODY_BYTES:
                 await self._stream.send_all(head + data)
-                return await self._receive(request, matches)
+                response, _ = await self._receive(request, matches)
+                return response
             return await self._send_and_receive(request, head + data, matches)
         except h11.RemoteProtocolError as exc:
             raise self._unknown_outcome(f"malformed response: {exc}") from exc
@@ -182,6 +186,7 @@
         matches: Callable[[Response], bool] | None,
     ) -> Response:
         sent = False
+        send_ended = trio.Event()
 
         async def send() -> None:
             nonlocal sent
@@ -190,27 +195,39 @@
                 sent = True
             except trio.BrokenResourceError:
                 # The upstream stopped reading the body, but may still send a response.
-                return
+                pass
+            send_ended.set()
 
         response: Response | None = None
         failure: Exception | None = None
+        ends_with_connection = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
             try:
-                response = await self._receive(request, matches)
+                response, framed = await self._receive(request, matches)
+                ends_with_connection = not framed and request.method != b"HEAD"
             except (UpstreamError, h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
                 failure = exc
+            if ends_with_connection:
+                with trio.move_on_after(UPLOAD_END_S):
+                    await send_ended.wait()
             nursery.cancel_scope.cancel()
         if failure is not None or response is None:
             raise failure or self._unknown_outcome("no response")
         if not sent:
             # The body was not sent completely, so the connection cannot carry another request.
             self.reusable = False
+            if ends_with_connection:
+                # A socket reports a reset once. If sending takes it, receiving sees a plain end.
+                raise self._unknown_outcome(
+                    "the connection ended during the request, after a response without length"
+                )
         return response
 
     async def _receive(
         self, request: h11.Request, matches: Callable[[Response], bool] | None
-    ) -> Response:
+    ) -> tuple[Response, bool]:
+        """Return the next response that matches, and whether its framing marked its end."""
         while True:
             response, framed = await self._receive_one()
             if matches is None or matches(response):
@@ -234,7 +251,7 @@
             if rest:
                 self._parser.receive_data(rest)
         self._note_reusability(response, framed)
-        return response
+        return response, framed
 
     def _note_reusability(self, response: Response, framed: bool) -> None:
         self.idle_since = trio.current_time()
@@ -278,6 +295,9 @@
                 data = await self._stream.receive_some(RECEIVE_BYTES)
                 self._parser.receive_data(data)
             elif isinstance(event, h11.Response):
+                problem = _problem_of(event)
+                if problem:
+                    raise self._unknown_outcome(f"malformed response: {problem}")
                 head = event
             elif isinstance(event, h11.InformationalResponse):
                 self._note_dropped()
@@ -293,6 +313,26 @@
         return UpstreamError(reason, outcome=Outcome.UNKNOWN, step="http1.receive", peer=self._peer)
 
 
+def _problem_of(head: h11.Response) -> str:
+    """Return why a head that h11 accepts is not valid, or an empty string.
+
+    See RFC 9110, section 15, and RFC 9112, sections 2.3, 6.1 and 6.3.
+    """
+    fields = dict(head.headers)
+    length, chunked = fields.get(b"content-length"), b"transfer-encoding" in fields
+    if not head.http_version.startswith(b"1."):
+        return "unknown version of HTTP"
+    if head.status_code > MAX_STATUS:
+        return f"status {head.status_code}"
+    if chunked and length is not None:
+        return "both Content-Length and Transfer-Encoding"
+    if chunked and head.http_version == b"1.0":
+        return "Transfer-Encoding in HTTP/1.0"
+    if head.status_code == 204 and (chunked or int(length or 0)):
+        return "status 204 with a body"
+    return ""
+
+
 def _keep_alive_s(value: str) -> float | None:
     """Return the timeout in a ``Keep-Alive`` header in seconds, or ``None``."""
     for part in value.split(","):
