Links: encode a configuration once, and decode it in slices

Cause: encoding and compressing a configuration for a link were one step of a task, and so were decompressing, decoding and applying it.

Change: the coordinator encodes each configuration once for all hosts that ask for it. There is a checkpoint before a message is compressed and after it is decompressed. The receiver applies the rest of the state first, and then decodes the configuration 1,000 routes at a time; one that it has read itself meanwhile is not decoded. The bytes on the wire are the same (compared for a state with and one without a configuration), so hosts of both versions understand each other.

--- a/benchmarks/configurations.py
+++ b/benchmarks/configurations.py
@@ -19,6 +19,7 @@
 import statistics
 import time
 import zlib
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -30,6 +31,8 @@
 
 from acaciasaddle.clock import TrioClock
 from acaciasaddle.fleet import FleetView
+from acaciasaddle.links._messages import decode_configuration
+from acaciasaddle.links._messages import encode_configuration
 from acaciasaddle.platform import PlatformConfigurations
 from acaciasaddle.platform import StoreClient
 from acaciasaddle.platform._decode import ConfigurationDecoder
@@ -68,7 +71,7 @@
     value = base64.b64encode(data)
     rows = feed_response(version=1, data=data)
     cfg = trio.run(ConfigurationDecoder().decode, data)
-    encoded = msgspec.msgpack.encode(cfg)
+    encoded = encode_configuration(cfg)
     compressed = zlib.compress(encoded, zlib.Z_BEST_SPEED)
     steps: dict[str, Callable[[], Any]] = {
         "rows": lambda: _ROWS.decode(rows),
@@ -76,10 +79,10 @@
         "json": lambda: msgspec.json.decode(data),
         "configuration": lambda: trio.run(ConfigurationDecoder().decode, data),
         "route table": lambda: RouteTable(cfg=cfg),
-        "link: encode": lambda: msgspec.msgpack.encode(cfg),
+        "link: encode": lambda: encode_configuration(cfg),
         "link: compress": lambda: zlib.compress(encoded, zlib.Z_BEST_SPEED),
         "link: decompress": lambda: zlib.decompress(compressed),
-        "link: decode": lambda: msgspec.msgpack.decode(encoded, type=type(cfg)),
+        "link: decode": lambda: trio.run(partial(decode_configuration, encoded, peer="p")),
     }
     return {name: _summary(_time_ms(action, repetitions)) for name, action in steps.items()}
 
--- a/features/steps/fuzz_parsers_steps.py
+++ b/features/steps/fuzz_parsers_steps.py
@@ -32,6 +32,8 @@
 from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.links._messages import ANSWER_DECODER
 from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import State
+from acaciasaddle.links._messages import decode_configuration
 from acaciasaddle.platform import PlatformDialect
 from acaciasaddle.platform._decode import ConfigurationDecoder
 from acaciasaddle.platform._decode import decode_entry
@@ -118,7 +120,9 @@
         await far.send_all(data)
         await far.send_eof()
         try:
-            await FrameStream(stream=near, peer="p").receive(ANSWER_DECODER)
+            answer = await FrameStream(stream=near, peer="p").receive(ANSWER_DECODER)
+            if isinstance(answer, State):
+                await decode_configuration(answer.configuration, peer="p")
         except PeerError:
             return
 
--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -27,6 +27,7 @@
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._changes import apply_part
 from acaciasaddle.links._messages import ANSWER_DECODER
+from acaciasaddle.links._messages import NO_CONFIGURATION
 from acaciasaddle.links._messages import FrameStream
 from acaciasaddle.links._messages import RegistryPart
 from acaciasaddle.links._messages import State
@@ -47,7 +48,7 @@
         configuration_age_s=0.1,
         registry_age_s=0.1,
         configuration_version=1,
-        configuration=None,
+        configuration=NO_CONFIGURATION,
         registry=None,
         owners=owners,
         busy={},
--- a/features/steps/platform_configurations_steps.py
+++ b/features/steps/platform_configurations_steps.py
@@ -11,7 +11,9 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import msgspec
 import trio
+import trio.testing
 from behave import given
 from behave import then
 from behave import when
@@ -26,8 +28,11 @@
 from acaciasaddle.fleet import Registry
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.links._messages import ANSWER_DECODER
+from acaciasaddle.links._messages import NO_CONFIGURATION
 from acaciasaddle.links._messages import FrameStream
 from acaciasaddle.links._messages import State
+from acaciasaddle.links._messages import decode_configuration
+from acaciasaddle.links._messages import encode_configuration
 from acaciasaddle.node._watch import Watcher
 from acaciasaddle.platform import PlatformConfigurations
 from acaciasaddle.platform import StoreClient
@@ -176,6 +181,7 @@
 
         async def main() -> None:
             [change] = await TakingInSteps._take_in(context, [TakingInSteps._value(context, 1)])
+            cfg = change.configuration
             state = State(
                 member="m",
                 role_version=1,
@@ -184,7 +190,7 @@
                 configuration_age_s=0.0,
                 registry_age_s=0.0,
                 configuration_version=1,
-                configuration=change.configuration,
+                configuration=NO_CONFIGURATION,
                 registry=None,
                 owners=[],
                 busy={},
@@ -195,13 +201,19 @@
             sender = FrameStream(stream=near, peer="receiver")  # type: ignore[arg-type]
             receiver = FrameStream(stream=far, peer="sender")  # type: ignore[arg-type]
             times = TaskStepTimes()
+
+            async def send() -> None:
+                encoded = encode_configuration(cfg)
+                await sender.send(msgspec.structs.replace(state, configuration=encoded))
+
             trio.lowlevel.add_instrument(times)
             for _ in range(count):
                 times.reset()
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(sender.send, state)
+                    nursery.start_soon(send)
                     received = await receiver.receive(ANSWER_DECODER)
-                assert received.configuration == change.configuration
+                    decoded = await decode_configuration(received.configuration, peer="sender")
+                assert decoded == cfg
                 context.longest_s.append(times.longest_s)
             trio.lowlevel.remove_instrument(times)
 
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -27,16 +27,21 @@
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._changes import apply_part
 from acaciasaddle.links._messages import ANSWER_DECODER
+from acaciasaddle.links._messages import NO_CONFIGURATION
 from acaciasaddle.links._messages import REPORT_DECODER
 from acaciasaddle.links._messages import FrameStream
 from acaciasaddle.links._messages import Redirect
 from acaciasaddle.links._messages import Report
 from acaciasaddle.links._messages import State
+from acaciasaddle.links._messages import decode_configuration
+from acaciasaddle.links._messages import encode_configuration
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import msgspec
+
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.fleet import UpstreamEntry
@@ -44,6 +49,7 @@
     from acaciasaddle.keyspace import LoadHistory
     from acaciasaddle.links._messages import OwnersPart
     from acaciasaddle.links._messages import RegistryPart
+    from acaciasaddle.routing import Configuration
 
 BACKLOG = 512
 INTERVAL_S = 0.4
@@ -121,6 +127,7 @@
         self._busy_to_send: dict[str, int] = {}
         self._address_by_host: dict[str, str] = {}
         self._peers: list[str] = []
+        self._encoded_configuration: tuple[Configuration, msgspec.Raw] | None = None
 
     @property
     def hosts(self) -> int:
@@ -314,7 +321,7 @@
             configuration_age_s=self._age(self._view.configuration_read_at),
             registry_age_s=registry_age_s,
             configuration_version=version,
-            configuration=cfg if needs_configuration else None,
+            configuration=self._encoded(cfg) if needs_configuration else NO_CONFIGURATION,
             registry=registry,
             owners=parts,
             busy=self._busy_to_send,
@@ -323,6 +330,14 @@
             granted=sorted(granted),
         )
 
+    def _encoded(self, cfg: Configuration | None) -> msgspec.Raw:
+        """Return the encoded configuration. Each one is encoded once for all hosts."""
+        if cfg is None:
+            return NO_CONFIGURATION
+        if self._encoded_configuration is None or self._encoded_configuration[0] is not cfg:
+            self._encoded_configuration = cfg, encode_configuration(cfg)
+        return self._encoded_configuration[1]
+
     def _select_busy(self, total: dict[str, int]) -> dict[str, int]:
         """Return the number of requests in progress at those upstreams that hosts need to know of.
 
@@ -369,6 +384,7 @@
                         break
                     found = True
                     self._apply_state(answer, peer=address)
+                    await self._apply_configuration(answer, peer=address)
             except (PeerError, trio.TooSlowError) as exc:
                 log.info("link to the coordinator ended", address=address, reason=str(exc))
             nursery.cancel_scope.cancel()
@@ -432,8 +448,6 @@
         if state.configuration_version != self._announced_version:
             self._announced_version = state.configuration_version
             self._announced_at = self._state_received_at
-        if state.configuration is not None:
-            self._view.apply_configuration(state.configuration)
         if self._state_is_fresh and self.configuration_is_up_to_date():
             self._view.note_configuration_read(age_s=state.configuration_age_s)
         self._apply_registry(
@@ -446,6 +460,14 @@
         for service, fence in state.granted:
             self._view.note_granted(service, fence)
 
+    async def _apply_configuration(self, state: State, *, peer: str) -> None:
+        """Put the configuration of a state in force, unless this host has read it meanwhile."""
+        current = self._view.configuration
+        known = current is not None and current.version >= state.configuration_version
+        if not known and state.configuration != NO_CONFIGURATION:
+            cfg = await decode_configuration(state.configuration, peer=peer)
+            self._view.apply_configuration(cfg)
+
     def _apply_registry(self, part: RegistryPart | None, *, age_s: float, revision: int) -> None:
         if part is None:
             if self._state_is_fresh:
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -17,11 +17,16 @@
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.errors import PeerUnreachableError
 from acaciasaddle.fleet import UpstreamEntry
+from acaciasaddle.routing import CallerLimits
 from acaciasaddle.routing import Configuration
+from acaciasaddle.routing import Route
+from acaciasaddle.routing import Service
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """A configuration with a few thousand routes takes about 1 MB."""
 RECEIVE_BYTES = 65_536
+ROUTES_PER_SLICE = 1_000
+"""Other tasks run each time that this many routes have been decoded, which takes about 2 ms."""
 MIN_COMPRESSED_BYTES = 4_096
 """Messages of this size or more are compressed: the smallest hosts have links of 5 Mbit/s."""
 _LENGTH = struct.Struct(">I")
@@ -77,8 +82,9 @@
     hosts that were linked at one time, with the coordinator, and ``peers`` are the addresses of the
     coordinator and of all linked hosts. ``busy`` has the number of requests in progress at each
     upstream whose slots are all in use, and at each upstream of a service without keys. The
-    configuration is sent only to a host that asks for it: in a large deployment it takes hundreds
-    of kilobytes, and the platform has more bandwidth than the coordinator. ``registry_revision`` is
+    configuration, encoded by ``encode_configuration``, is sent only to a host that asks for it, and
+    ``NO_CONFIGURATION`` otherwise: in a large deployment it takes hundreds of kilobytes, and the
+    platform has more bandwidth than the coordinator. ``registry_revision`` is
     the revision of the registry as the coordinator last read it, 0 if it is not known. ``granted``
     has the service and the fencing token of moves whose keys were granted since the last state.
     """
@@ -90,7 +96,7 @@
     configuration_age_s: float
     registry_age_s: float
     configuration_version: int
-    configuration: Configuration | None
+    configuration: msgspec.Raw
     registry: RegistryPart | None
     owners: list[OwnersPart]
     busy: dict[str, int]
@@ -112,11 +118,48 @@
     role_age_s: float
 
 
+class _EncodedConfiguration(msgspec.Struct, kw_only=True):
+    """A ``Configuration`` whose routes are not decoded."""
+
+    version: int
+    routes: list[msgspec.Raw]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
 _ENCODER = msgspec.msgpack.Encoder()
+_CONFIGURATION_DECODER = msgspec.msgpack.Decoder(_EncodedConfiguration)
+_ROUTE_DECODER = msgspec.msgpack.Decoder(Route)
+NO_CONFIGURATION = msgspec.Raw(_ENCODER.encode(None))
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
 ANSWER_DECODER = msgspec.msgpack.Decoder(State | Redirect)
 
 
+def encode_configuration(cfg: Configuration) -> msgspec.Raw:
+    """Return a configuration as it is sent in a ``State``."""
+    return msgspec.Raw(_ENCODER.encode(cfg))
+
+
+async def decode_configuration(encoded: msgspec.Raw, *, peer: str) -> Configuration:
+    """Return the configuration of a ``State`` that has one. Other tasks run between its routes.
+
+    Raises ``PeerProtocolError`` if it cannot be decoded.
+    """
+    await trio.lowlevel.checkpoint()
+    routes: list[Route] = []
+    try:
+        raw = _CONFIGURATION_DECODER.decode(encoded)
+        for route in raw.routes:
+            if len(routes) % ROUTES_PER_SLICE == 0:
+                await trio.lowlevel.checkpoint()
+            routes.append(_ROUTE_DECODER.decode(route))
+    except DECODING_ERRORS as exc:
+        raise PeerProtocolError(str(exc), step="links.configuration", peer=peer) from exc
+    return Configuration(
+        version=raw.version, routes=tuple(routes), services=raw.services, limits=raw.limits
+    )
+
+
 class FrameStream:
     """Sends and receives length-prefixed messages. Failures raise ``PeerError``."""
 
@@ -135,6 +178,8 @@
             ) from exc
         flag = 0
         if len(data) >= MIN_COMPRESSED_BYTES:
+            # Encoding and compressing a configuration take milliseconds each.
+            await trio.lowlevel.checkpoint()
             data = zlib.compress(data, zlib.Z_BEST_SPEED)
             flag = _COMPRESSED_FLAG
         try:
@@ -156,6 +201,7 @@
         try:
             if header & _COMPRESSED_FLAG:
                 data = zlib.decompressobj().decompress(data, MAX_FRAME_BYTES)
+                await trio.lowlevel.checkpoint()
             return decoder.decode(data)
         except (zlib.error, *DECODING_ERRORS) as exc:
             raise PeerProtocolError(str(exc), step="links.receive", peer=self._peer) from exc
