--- a/features/steps/fuzz_parsers_steps.py
+++ b/features/steps/fuzz_parsers_steps.py
@@ -32,8 +32,10 @@
 from acaciasaddle.keyspace import KeyMap
 from acaciasaddle.links._messages import ANSWER_DECODER
 from acaciasaddle.links._messages import FrameStream
+from acaciasaddle.links._messages import State
+from acaciasaddle.links._messages import decode_configuration
 from acaciasaddle.platform import PlatformDialect
-from acaciasaddle.platform._decode import decode_configuration
+from acaciasaddle.platform._decode import ConfigurationDecoder
 from acaciasaddle.platform._decode import decode_entry
 from acaciasaddle.platform._store import _row
 from acaciasaddle.platform._store import _StoredRow
@@ -92,7 +94,7 @@
 
 def _read_configuration(data: bytes) -> None:
     try:
-        decode_configuration(data)
+        trio.run(ConfigurationDecoder().decode, data)
     except ConfigError:
         return
 
@@ -118,7 +120,9 @@
         await far.send_all(data)
         await far.send_eof()
         try:
-            await FrameStream(stream=near, peer="p").receive(ANSWER_DECODER)
+            answer = await FrameStream(stream=near, peer="p").receive(ANSWER_DECODER)
+            if isinstance(answer, State):
+                await decode_configuration(answer.configuration, peer="p")
         except PeerError:
             return
 
