Leave a request unread that arrives in the step of the shutdown

Cause: the task that receives was cancelled one pass of the scheduler after the shutdown. Input that arrived in the rest of that pass made it ready in the same pass as its cancellation, and in half of the cases it ran first, read the request and discarded it.

Change: once the connection is shut down, the task that receives reads nothing more.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -78,6 +78,16 @@
       | because the listener stops  |
       | because of their idle limit |
 
+  Scenario Outline: a request that arrives right after an unused connection was shut down stays unread
+    Given a listener whose handler takes "0" s
+    When 20 requests arrive in the step of the scheduler that shuts their connection down <reason>
+    Then all of them are left unread
+
+    Examples:
+      | reason                      |
+      | because the listener stops  |
+      | because of their idle limit |
+
   Scenario: a connection that was idle for less than the previous limit outlasts a shorter one
     Given a listener whose handler takes "0" s
     And the idle limit changes from 1 to 0.3 s, 0.1 s after a caller has connected
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -36,6 +36,8 @@
     "a status of 1000": CallerResponse(status=1000, headers=[]),
     "status 204 with a body": CallerResponse(status=204, headers=[], body=b"text"),
 }
+MIN_STEPS_OF_CLOSE = 3
+"""Steps that the tasks of a connection take at least between the decision and the close."""
 REST_S = 0.3
 """Longer than a host leaves a caller for its next request."""
 
@@ -58,6 +60,27 @@
             self.sent = True
 
 
+class _SendAfterShutdown(trio.abc.Instrument):
+    """Sends a request on each socket right after the step that shuts its other end down.
+
+    The step then takes 10 ms more, so that the request has arrived before the next one.
+    """
+
+    def __init__(self, *, callers: list[socket.socket]) -> None:
+        self.waiting = set(callers)
+
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        for caller in list(self.waiting):
+            try:
+                ended = not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                continue
+            if ended:
+                caller.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                self.waiting.discard(caller)
+                time.sleep(0.01)
+
+
 def _free_address() -> tuple[str, int]:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -294,11 +317,59 @@
         context.answers = []
         trio.run(main)
 
+    @staticmethod
+    @when(
+        "{count:d} requests arrive in the step of the scheduler that shuts their connection down "
+        "{reason}"
+    )
+    def requests_after_shutdown(context: Any, count: int, reason: str) -> None:
+        async def handle(req: CallerRequest) -> CallerResponse:
+            return await CallerSteps._handle(context, req)
+
+        async def answer(caller: socket.socket) -> None:
+            caller.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+            context.answers.append(await _answer_or_reset(stream))
+            await stream.aclose()
+
+        async def main() -> None:
+            address = _free_address()
+            limits = replace(LIMITS, idle_timeout_s=REST_S if "idle" in reason else 60.0)
+            server = HttpServer(
+                address=f"{address[0]}:{address[1]}", limits=lambda: limits, handle=handle
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                callers = [socket.create_connection(address) for _ in range(count)]
+                sender = _SendAfterShutdown(callers=callers)
+                trio.lowlevel.add_instrument(sender)
+                await trio.sleep(REST_S * 0.9)
+                if "stops" in reason:
+                    for conn in list(server._connections):
+                        conn.close_soon()
+                with trio.move_on_after(2.0):
+                    while sender.waiting:
+                        await trio.sleep(0.01)
+                trio.lowlevel.remove_instrument(sender)
+                async with trio.open_nursery() as answers:
+                    for caller in callers:
+                        answers.start_soon(answer, caller)
+                nursery.cancel_scope.cancel()
+
+        context.answers = []
+        trio.run(main)
+
+    @staticmethod
+    @then("all of them are left unread")
+    def all_unread(context: Any) -> None:
+        assert context.answers == ["unread"] * 20, context.answers
+
     @staticmethod
     @then("each of them is answered or left unread")
     def answered_or_unread(context: Any) -> None:
         allowed = ("answered", "unread")
         assert all(result in allowed for result in context.answers), context.answers
+        assert len(context.answers) >= MIN_STEPS_OF_CLOSE, context.answers
 
     @staticmethod
     @when(
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -209,7 +209,11 @@
         """
         sock = getattr(self._stream, "socket", None)
         if sock is not None:
-            await trio.lowlevel.wait_readable(sock)
+            while not has_input(sock):
+                await trio.lowlevel.wait_readable(sock)
+            if self._is_shut_down:
+                # What has arrived since stays unread. The tasks of the connection are cancelled.
+                await trio.sleep_forever()
             self._has_taken_input = True
         return bytes(await self._stream.receive_some(RECEIVE_BYTES))
 
