Send no body in answer to HEAD, and bound a body that waits to be asked for

No body is sent now, and its length is stated. (2) While an upload waits for earlier responses before it is asked for its body, its bytes were buffered without limit if its caller did not wait. Receiving pauses above READ_AHEAD_BYTES now. The line of a closed connection also counts bytes that the parser had already taken.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -36,11 +36,21 @@
       | a status of 1000          | 502    |
       | status 204 with a body    | 204    |
 
+  Scenario: a response to HEAD has no body, and the next request is answered
+    Given a listener whose handler takes "0" s
+    When a caller sends "HEAD /1, GET /2" at once
+    Then the responses are "200, 200 /2"
+
   Scenario: an upload that waits to be asked for its body is asked after the responses before it
     Given a listener whose handler takes "0.1, 0" s
     When a caller sends the raw request "GET /1 HTTP/1.1~Host: a~~POST /2 HTTP/1.1~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
     Then the responses are "200 /1, 100, 200 /2 abc"
 
+  Scenario: a body that is sent without being asked for is not buffered without limit
+    Given a listener whose handler takes "0.5" s
+    When a caller sends a request and then, without waiting, a body without end that waits to be asked for
+    Then the caller could send less than 16 MB in 0.3 s
+
   Scenario: a body over the limit is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "POST / HTTP/1.1~Host: a~Content-Length: 2000~~{2000}"
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -459,7 +459,9 @@
         context.last_response_closes = False
         while raw:
             parser = h11.Connection(h11.CLIENT)
-            parser.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+            methods = getattr(context, "methods", [])
+            method = methods.pop(0) if methods else "GET"
+            parser.send(h11.Request(method=method, target="/", headers=[("Host", "a")]))
             parser.send(h11.EndOfMessage())
             parser.receive_data(raw)
             head = parser.next_event()
@@ -479,9 +481,45 @@
         lines = (f"{item} HTTP/1.1\r\nHost: a\r\n\r\n" for item in text.split(", "))
         return "".join(lines).encode()
 
+    @staticmethod
+    @when(
+        "a caller sends a request and then, without waiting, a body without end that waits to be "
+        "asked for"
+    )
+    def send_endless_body(context: Any) -> None:
+        async def handle(req: CallerRequest) -> CallerResponse:
+            return await CallerSteps._handle(context, req)
+
+        async def main() -> None:
+            address = _free_address()
+            server = HttpServer(
+                address=f"{address[0]}:{address[1]}", limits=lambda: LIMITS, handle=handle
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.serve)
+                stream = await trio.open_tcp_stream(*address)
+                await stream.send_all(
+                    b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\n"
+                    b"Expect: 100-continue\r\nContent-Length: 1000000000\r\n\r\n"
+                )
+                with trio.move_on_after(0.3):
+                    while True:
+                        await stream.send_all(bytes(65_536))
+                        context.sent_bytes += 65_536
+                nursery.cancel_scope.cancel()
+
+        context.sent_bytes = 0
+        trio.run(main)
+
+    @staticmethod
+    @then("the caller could send less than {megabytes:d} MB in 0.3 s")
+    def sent_less_than(context: Any, megabytes: int) -> None:
+        assert context.sent_bytes < megabytes * 1_000_000, context.sent_bytes
+
     @staticmethod
     @when('a caller sends "{requests}" at once')
     def send(context: Any, requests: str) -> None:
+        context.methods = [item.split()[0] for item in requests.split(", ")]
         CallerSteps._exchange(context, CallerSteps._requests(requests))
 
     @staticmethod
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -34,8 +34,8 @@
 MAX_PIPELINED = 16
 """Largest number of requests of one connection that are in progress at the same time."""
 READ_AHEAD_BYTES = 262_144
-"""While ``MAX_PIPELINED`` requests are in progress, receiving pauses if more unread bytes than this
-are buffered."""
+"""While ``MAX_PIPELINED`` requests are in progress, or a request's body is not read yet because
+earlier responses are due, receiving pauses if more unread bytes than this are buffered."""
 LINGER_S = 1.0
 """Time for a caller to read the last response; closing with unread input would reset the connection
 and could discard that response."""
@@ -54,6 +54,7 @@
     """A request in progress, and the parser that read it and frames its response."""
 
     parser: h11.Connection
+    method: str = ""
     done: trio.Event = field(default_factory=trio.Event)
     response: CallerResponse | None = None
 
@@ -90,6 +91,7 @@
         self._received = trio.Event()
         self._has_taken_input = False
         self._is_reading_request = False
+        self._holds_body_back = False
         self._is_shut_down = False
         self._progress = trio.Event()
         self._unread = 0
@@ -157,6 +159,8 @@
         """Log and count a close that this host decided on."""
         if not self._close_reason:
             return
+        if not self._is_shut_down:
+            self._discarded += len(self._parser.trailing_data[0])
         self._metrics.count(f"callers.closed.{self._close_reason.replace(' ', '_')}")
         if self._discarded:
             self._metrics.count("callers.input_discarded")
@@ -192,7 +196,9 @@
             self._has_taken_input = False
             self._unread += len(data)
             self._notify_received()
-            while len(self._pending) >= MAX_PIPELINED and self._unread > READ_AHEAD_BYTES:
+            while self._unread > READ_AHEAD_BYTES and (
+                self._holds_body_back or len(self._pending) >= MAX_PIPELINED
+            ):
                 await self._progress.wait()
         self._eof_received = True
         if self._pending:
@@ -248,7 +254,7 @@
             if req is None:
                 break
             self._requests += 1
-            exchange = _Exchange(self._parser)
+            exchange = _Exchange(self._parser, method=req.method)
             rest, _ = self._parser.trailing_data
             self._unread = len(rest)
             if self.close_after_next or self._parser.their_state is not h11.DONE:
@@ -303,7 +309,7 @@
                     last = (self.closing or self.close_after_next) and len(self._pending) == 1
                     last = last and (self._reading_done or not self._has_input())
                     self._reading_done = self._reading_done or last
-                    await self._send(exchange.parser, exchange.response, close=last)
+                    await self._send(exchange, exchange.response, close=last)
                 self._pending.popleft()
                 self._note_idle()
                 self._idle_scope.deadline = self._close_at
@@ -331,7 +337,10 @@
         if fields.get("expect", "").lower() == "100-continue":
             while self._pending:
                 # Responses are sent in the order of the requests, and this one is no exception.
+                self._holds_body_back = True
                 await self._progress.wait()
+            self._holds_body_back = False
+            self._notify_progress()
             data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self._stream.send_all(data or b"")
         body = await self._read_body()
@@ -427,12 +436,13 @@
             "the request body did not arrive in time", error_status_hint=408
         )
 
-    async def _send(self, parser: h11.Connection, response: CallerResponse, *, close: bool) -> None:
+    async def _send(self, exchange: _Exchange, response: CallerResponse, *, close: bool) -> None:
         headers = list(response.headers)
         if response.status not in BODILESS_STATUSES:
             headers.append((b"Content-Length", str(len(response.body)).encode()))
         if close:
             headers.append((b"Connection", b"close"))
+        parser = exchange.parser
         try:
             head = h11.Response(
                 status_code=response.status, headers=headers, reason=response.reason
@@ -441,10 +451,10 @@
             log.warning(
                 "response violates HTTP, answered with 502", reason=str(exc), status=response.status
             )
-            await self._send(parser, CallerResponse(status=502, headers=[]), close=close)
+            await self._send(exchange, CallerResponse(status=502, headers=[]), close=close)
             return
         data = parser.send(head) or b""
-        if response.body and response.status not in BODILESS_STATUSES:
+        if exchange.method != "HEAD" and response.status not in BODILESS_STATUSES:
             data += parser.send(h11.Data(data=response.body)) or b""
         data += parser.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
