Refuse responses that are not valid HTTP in the dispatcher too

Callers of the entry hosts got status 600, responses of HTTP/2.0, with both Content-Length and Transfer-Encoding, chunks in HTTP/1.0 and a 204 without the body that it announced, as complete responses.

Cause: httpcore returns each head that h11 accepts.

Change: the check of the client's connections moves to http1/_heads.py, and the dispatcher's exchange makes it too. A malformed response fails the exchange like a reset: idempotent work is sent again, other work ends with an unknown outcome.

--- a/features/dispatch/failures.feature
+++ b/features/dispatch/failures.feature
@@ -24,6 +24,15 @@
       | lookup | shed            | 503 not-run            | 1     |
       | lookup | late            | 504 not-run            | 1     |
 
+    Examples: responses that are not valid HTTP are no responses
+      | kind    | action            | result       | sends |
+      | lookup  | status 600        | 200 complete | 2     |
+      | deposit | status 600        | 504 unknown  | 1     |
+      | deposit | version 2.0       | 504 unknown  | 1     |
+      | deposit | length and chunks | 504 unknown  | 1     |
+      | deposit | chunks in 1.0     | 504 unknown  | 1     |
+      | deposit | 204 with a body   | 504 unknown  | 1     |
+
     Examples: work that is not idempotent is not sent twice
       | kind    | action          | result               | sends |
       | deposit | refuse connect  | 200 complete         | 1     |
--- a/features/steps/dispatch_support.py
+++ b/features/steps/dispatch_support.py
@@ -87,6 +87,16 @@
 )
 
 
+MALFORMED = {
+    "status 600": b"HTTP/1.1 600 Any\r\nContent-Length: 4\r\n\r\ndone",
+    "version 2.0": b"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+    "length and chunks": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    "chunks in 1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4\r\ndone\r\n0\r\n\r\n",
+    "204 with a body": b"HTTP/1.1 204 None\r\nContent-Length: 4\r\n\r\ndone",
+}
+"""Responses that are not valid HTTP, although h11 accepts them."""
 REFUSALS = ("refuse term", "shed", "late")
 
 
@@ -114,9 +124,9 @@
     """Responds to each request over a memory stream as the next entry of ``script`` says.
 
     Entries: ``answer``, ``silent``, ``reset``, ``head then reset``, ``cut``, ``stall``,
-    ``refuse term``, ``shed``, ``late``, ``large``, ``early end`` and ``early answer``. The last two
-    are sent before the body is read, without and with a length, and close the connection. Once the
-    script is used up, each request is treated as with ``answer``.
+    ``refuse term``, ``shed``, ``late``, ``large``, the names in ``MALFORMED``, ``early end`` and
+    ``early answer``. The last two are sent before the body is read, without and with a length, and
+    close the connection. Once the script is used up, each request is treated as with ``answer``.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
@@ -213,6 +223,9 @@
             await self._send_response(conn, stream, 503 if action == "shed" else 504, [], extra)
             return True
         await trio.sleep(self.service_time)
+        if action in MALFORMED:
+            await stream.send_all(MALFORMED[action])
+            return False
         if action == "large":
             await self._send_response(conn, stream, 200, [b"x" * 50_000, b"y" * 50_000])
             return True
--- a/src/acaciasaddle/dispatch/_exchange.py
+++ b/src/acaciasaddle/dispatch/_exchange.py
@@ -17,6 +17,7 @@
 from acaciasaddle.errors import RefusedError
 from acaciasaddle.errors import RequestError
 from acaciasaddle.errors import UpstreamError
+from acaciasaddle.http1 import response_problem
 from acaciasaddle.model import WorkRequest
 from acaciasaddle.ownership import Permit
 
@@ -77,7 +78,7 @@
         ``RefusedError`` also if the body could not be read from the caller or does not have the
         announced length, or if the response could not be sent to the caller, ``RequestError`` if
         the request is not valid HTTP or its body stalled or was too large at the ingress, and
-        ``UpstreamError`` if the connection failed or no response began in time.
+        ``UpstreamError`` if the connection failed, or no valid response began in time.
         """
         request = self._build_request(upload, remaining=remaining, deadline_ms=deadline_ms)
         self.sent = True
@@ -148,6 +149,13 @@
                 ) from exc
         if response is None:
             raise self._upstream_error(f"no response within {response_timeout * 1000:.0f} ms")
+        problem = response_problem(
+            version=response.extensions["http_version"].removeprefix(b"HTTP/"),
+            status=response.status,
+            headers=response.headers,
+        )
+        if problem:
+            raise self._upstream_error(f"malformed response: {problem}")
         # httpcore takes this when it starts to read the body and applies it to each read, so a body
         # that stalls is cut off.
         request.extensions["timeout"]["read"] = STALL_TIMEOUT_S
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -19,6 +19,7 @@
 from acaciasaddle.errors import Outcome
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.errors import UpstreamUnreachableError
+from acaciasaddle.http1._heads import response_problem
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +42,6 @@
 UPLOAD_END_S = 1.0
 """Time in which the rest of a request must be sent after a response without length has ended."""
 
-MAX_STATUS = 599
 MAX_KEEP_ALIVE_DIGITS = 9
 """Digits read of a ``Keep-Alive`` timeout."""
 
@@ -295,7 +295,9 @@
                 data = await self._stream.receive_some(RECEIVE_BYTES)
                 self._parser.receive_data(data)
             elif isinstance(event, h11.Response):
-                problem = _problem_of(event)
+                problem = response_problem(
+                    version=event.http_version, status=event.status_code, headers=event.headers
+                )
                 if problem:
                     raise self._unknown_outcome(f"malformed response: {problem}")
                 head = event
@@ -313,26 +315,6 @@
         return UpstreamError(reason, outcome=Outcome.UNKNOWN, step="http1.receive", peer=self._peer)
 
 
-def _problem_of(head: h11.Response) -> str:
-    """Return why a head that h11 accepts is not valid, or an empty string.
-
-    See RFC 9110, section 15, and RFC 9112, sections 2.3, 6.1 and 6.3.
-    """
-    fields = dict(head.headers)
-    length, chunked = fields.get(b"content-length"), b"transfer-encoding" in fields
-    if not head.http_version.startswith(b"1."):
-        return "unknown version of HTTP"
-    if head.status_code > MAX_STATUS:
-        return f"status {head.status_code}"
-    if chunked and length is not None:
-        return "both Content-Length and Transfer-Encoding"
-    if chunked and head.http_version == b"1.0":
-        return "Transfer-Encoding in HTTP/1.0"
-    if head.status_code == 204 and (chunked or int(length or 0)):
-        return "status 204 with a body"
-    return ""
-
-
 def _keep_alive_s(value: str) -> float | None:
     """Return the timeout in a ``Keep-Alive`` header in seconds, or ``None``."""
     for part in value.split(","):
