--- a/features/soak/runs.feature
+++ b/features/soak/runs.feature
@@ -29,6 +29,10 @@
     When the soak runs with seed 1 and 4 planned stops within 8 s under slow work
     Then the soak has no finding, and at least 100 requests were completed
 
+  Scenario: stops, SIGHUPs and large configurations leave no request without an answer
+    When the soak runs with seed 2 and 6 planned stops within 6 s beside configurations with 30000 routes
+    Then the soak has no finding, and at least 100 requests were completed
+
   Scenario: a soak that is stopped leaves no upstream and no host running
     When the command soak gets SIGTERM while its processes run
     Then it reports the signal and exits with 1, and its upstream and its host no longer run
--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -128,6 +128,26 @@
         )
         context.soak = trio.run(SoakRunSteps._run, options)
 
+    @staticmethod
+    @when(
+        "the soak runs with seed {seed:d} and {stops:d} planned stops within {window_s:g} s "
+        "beside configurations with {routes:d} routes"
+    )
+    def planned_work(context: Any, seed: int, stops: int, window_s: float, routes: int) -> None:
+        options = SoakOptions(
+            seed=seed,
+            hosts=3,
+            upstreams=2,
+            faults=stops,
+            fault_window_s=window_s,
+            only_stops=True,
+            routes=routes,
+            callers=12,
+            resting_callers=30,
+            slots=24,
+        )
+        context.soak = trio.run(SoakRunSteps._run, options)
+
     @staticmethod
     @then("the soak has no finding, and at least {count:d} requests were completed")
     def no_finding(context: Any, count: int) -> None:
