Wait for the server of callers to end, not for its connections, when the listener stops

What callers saw: a request on a new connection, sent before a stopping host closed its listening socket, got a reset. Cause: Listener.stop returned as soon as no connection was open. On a process that is busy, for example with a configuration, connections still waited to be accepted then; the kernel cancelled the server and the queue was reset. Change: the stop waits until the server has returned: it has accepted what waited, and all its connections have closed.

--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -101,6 +101,10 @@
     def close_idle(self) -> None:
         """Do nothing, since the connection is not idle."""
 
+    async def wait_until_ended(self) -> None:
+        """Wait forever, since the connection stays open."""
+        await trio.sleep_forever()
+
 
 class ListenerGraceSteps:
     """Guards against requests accepted so late that the process is killed while they run."""
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -61,6 +61,7 @@
         self._closing = False
         self._errors_of_closed = 0
         self._accepting = trio.CancelScope()
+        self._has_ended = trio.Event()
 
     @property
     def open_connections(self) -> int:
@@ -77,6 +78,10 @@
         """Number of connections with requests in progress."""
         return sum(conn.busy for conn in self._connections)
 
+    async def wait_until_ended(self) -> None:
+        """Wait until ``serve`` has returned, so that no connection is open or waits for it."""
+        await self._has_ended.wait()
+
     def announce_close(self) -> None:
         """Make connections close after the requests in progress, or else after their next one."""
         self._closing = True
@@ -106,6 +111,7 @@
             await trio.sleep(LAST_REQUEST_S)
             for conn in self._connections:
                 conn.close_soon()
+        self._has_ended.set()
 
     async def _accept_waiting(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
         """Accept the connections that were made before the stop: closing would reset them.
@@ -199,8 +205,7 @@
         await trio.sleep_until(stop.announced_at + accept_s)
         self._callers.close_idle()
         with trio.move_on_at(stop.ends_at):
-            while self._callers.open_connections:
-                await trio.sleep(POLL_S)
+            await self._callers.wait_until_ended()
         log.info("listener stopped", open=self._callers.open_connections)
 
 
@@ -209,4 +214,3 @@
 through it if that is later. Requests that might not finish by then are refused before."""
 EXIT_MARGIN_S = 0.4
 """The listener stops waiting for open connections this long before the end of the grace time."""
-POLL_S = 0.05
