Let SIGHUP end a node neither at its start nor after its stop

What was seen: the soak's hosts that got SIGHUP after SIGTERM ended with -1 (10 of 10 such stops, 0 of 46 others). Cause: the node took no more signals after the first SIGTERM; trio raises what is left in its receiver again when that closes, and the default of SIGHUP ends the process. The same default acted from the start of the interpreter until all imports were done. Change: signals are taken until the services have stopped, and the entry point ignores SIGHUP before its imports.

--- a/features/node/stop.feature
+++ b/features/node/stop.feature
@@ -6,6 +6,10 @@
     When the node gets SIGTERM before its services have started
     Then the node stops its services
 
+  Scenario: the node stops in good order if SIGHUP and a second SIGTERM arrive after SIGTERM
+    When the node gets SIGHUP and SIGTERM again while its services stop
+    Then the node stops its services
+
   Scenario Outline: a stopping host takes only requests that it will probably not break off
     Given a host that gets the signal to stop at 0 s and breaks off requests at 5.6 s
     When a <kind> request that is given up after <wait> s and should take <expected> s arrives at <at> s
--- a/features/steps/node_start_steps.py
+++ b/features/steps/node_start_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import subprocess
+import sys
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +26,36 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 
 
+SIGHUP_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class SignalAtImport:
+    def find_spec(self, name, path, target=None):
+        if name == "trio":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, SignalAtImport())
+sys.argv = ["node", "no-such-file"]
+runpy.run_module("acaciasaddle.node", run_name="__main__")
+"""
+
+
+class ProgramStartSteps:
+    """Guards against a program that a signal ends before it handles signals."""
+
+    @staticmethod
+    @when("a node's program gets SIGHUP while it imports its libraries, and has no settings file")
+    def signalled(context: Any) -> None:
+        command = [sys.executable, "-c", SIGHUP_AT_IMPORT]
+        done = subprocess.run(command, capture_output=True, timeout=60, check=False)
+        context.exit_code = done.returncode
+
+    @staticmethod
+    @then("it ends with exit code {code:d}")
+    def exit_code(context: Any, code: int) -> None:
+        assert context.exit_code == code, context.exit_code
+
+
 class ServerStartSteps:
     """Guards against a server that ends because its port is taken for a moment."""
 
--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -21,16 +21,23 @@
 
 
 class _SignalledKernel:
-    """Stands in for the kernel; SIGTERM arrives while it starts the services."""
+    """Stands in for the kernel; SIGTERM arrives while it starts the services.
 
-    def __init__(self) -> None:
+    The signals in ``while_stopping`` arrive while it stops them.
+    """
+
+    def __init__(self, *, while_stopping: tuple[int, ...] = ()) -> None:
         self._stop = trio.Event()
+        self._while_stopping = while_stopping
         self.stopped = False
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         os.kill(os.getpid(), signal.SIGTERM)
         task_status.started()
         await self._stop.wait()
+        for signum in self._while_stopping:
+            os.kill(os.getpid(), signum)
+        await trio.sleep(0.05)
         self.stopped = True
 
     def shutdown(self) -> None:
@@ -43,20 +50,32 @@
     @staticmethod
     @when("the node gets SIGTERM before its services have started")
     def signalled(context: Any) -> None:
+        NodeStopSteps._run(context, _SignalledKernel())
+
+    @staticmethod
+    @when("the node gets SIGHUP and SIGTERM again while its services stop")
+    def signalled_again(context: Any) -> None:
+        NodeStopSteps._run(
+            context, _SignalledKernel(while_stopping=(signal.SIGHUP, signal.SIGTERM))
+        )
+
+    @staticmethod
+    def _run(context: Any, kernel: Any) -> None:
         missed = []
         node = Node(settings=template_settings())
-        kernel: Any = _SignalledKernel()
         node.kernel = kernel
 
         async def main() -> None:
             with trio.move_on_after(LIMIT_S):
                 await node.run()
 
-        before = signal.signal(signal.SIGTERM, lambda *_: missed.append(True))
+        numbers = (signal.SIGTERM, signal.SIGHUP)
+        before = [signal.signal(number, lambda *_: missed.append(True)) for number in numbers]
         try:
             trio.run(main)
         finally:
-            signal.signal(signal.SIGTERM, before)
+            for number, handler in zip(numbers, before, strict=True):
+                signal.signal(number, handler)
         context.missed_signals, context.node_stopped = missed, kernel.stopped
 
     @staticmethod
--- a/src/acaciasaddle/node/__main__.py
+++ b/src/acaciasaddle/node/__main__.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from acaciasaddle.errors import AcaciasaddleError
-from acaciasaddle.errors import ConfigError
-from acaciasaddle.errors import leaf_exceptions
-from acaciasaddle.node import run_node
-
 USAGE = "usage: python -m acaciasaddle.node SETTINGS"
 
 
 def main() -> int:
     """Run a node and return the exit code."""
+    # SIGHUP has no effect on a node, but by default it would end the process while it starts, and
+    # when it has just stopped. The imports below take about a second on a small host.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    from acaciasaddle.errors import AcaciasaddleError
+    from acaciasaddle.errors import ConfigError
+    from acaciasaddle.errors import leaf_exceptions
+    from acaciasaddle.node import run_node
+
     if len(sys.argv) != 2:
         print(USAGE, file=sys.stderr)
         return 2
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -38,6 +38,8 @@
 from acaciasaddle.routing import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from acaciasaddle.forward import CallerRequest
     from acaciasaddle.node._settings import NodeSettings
 
@@ -148,11 +150,24 @@
         # Install the handlers first: without them a signal ends the process at once.
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._run_services)
-                async for signum in signals:
-                    if signum != signal.SIGHUP:
-                        break
-                    log.info("SIGHUP received; settings are only read at start")
+                nursery.start_soon(self._handle_signals, signals)
+                await self._run_services()
+                nursery.cancel_scope.cancel()
+
+    async def _handle_signals(self, signals: AsyncIterator[int]) -> None:
+        """Stop on the first SIGTERM or SIGINT; go on until cancelled.
+
+        A signal that nobody takes from the receiver is raised again when it closes, and would then
+        end a process that is about to stop in good order.
+        """
+        stopping = False
+        async for signum in signals:
+            if signum == signal.SIGHUP:
+                log.info("SIGHUP received; settings are only read at start")
+            elif stopping:
+                log.info("signal ignored, the host stops already", signal=signum)
+            else:
+                stopping = True
                 log.info("stopping on signal", signal=signum)
                 self.forwarder.note_stop(self.listener.announce_stop())
                 self.kernel.shutdown()
