--- a/src/acaciasaddle/emulator/soak/__init__.py
+++ b/src/acaciasaddle/emulator/soak/__init__.py
@@ -5,6 +5,7 @@
 from acaciasaddle.emulator.soak._callers import DEADLINE_S
 from acaciasaddle.emulator.soak._checks import Finding
 from acaciasaddle.emulator.soak._checks import check_records
+from acaciasaddle.emulator.soak._checks import judged_pauses
 from acaciasaddle.emulator.soak._faults import Fault
 from acaciasaddle.emulator.soak._faults import draw_changes
 from acaciasaddle.emulator.soak._faults import draw_faults
@@ -31,5 +32,6 @@
     "draw_faults",
     "draw_reloads",
     "draw_stops",
+    "judged_pauses",
     "run_soak",
 ]
