Test: take a port that outgoing connections of other processes do not share

Traced: the scenario's outgoing connection gets a port of the usual range, and Linux gives the same port to connections of other processes to other peers. While one of them is open, the server cannot listen, also after the scenario has freed the port. The server still has to wait for a port that a connection holds; what is checked is the same.

--- a/features/steps/node_start_steps.py
+++ b/features/steps/node_start_steps.py
@@ -14,6 +14,7 @@
 from behave import when
 
 from acaciasaddle.callers import HttpServer
+from acaciasaddle.emulator._fleet import reserve_port
 from acaciasaddle.errors import AcaciasaddleError
 from acaciasaddle.errors import leaf_exceptions
 from acaciasaddle.forward import CallerResponse
@@ -63,7 +64,10 @@
     @given("a port that an outgoing connection has been given")
     def taken_port(context: Any) -> None:
         listener = socket.create_server(("127.0.0.1", 0))
-        context.taken = socket.create_connection(listener.getsockname())
+        # Outgoing connections of other processes may share a port of the usual range.
+        context.taken = socket.create_connection(
+            listener.getsockname(), source_address=("127.0.0.1", reserve_port())
+        )
         context.address = f"127.0.0.1:{context.taken.getsockname()[1]}"
         context.listener = listener
 
