--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -5,6 +5,8 @@
 import select
 import socket
 import time
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +23,8 @@
 from acaciasaddle.routing import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from acaciasaddle.forward import CallerRequest
 
 LIMITS = CallerLimits(
@@ -42,6 +46,12 @@
 """Longer than a host leaves a caller for its next request."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RunningServer:
+    server: HttpServer
+    address: tuple[str, int]
+
+
 class _SendAtStep(trio.abc.Instrument):
     """Sends a request on a socket at a given step of the scheduler, each of which takes 4 ms."""
 
@@ -87,6 +97,21 @@
         return probe.getsockname()
 
 
+@asynccontextmanager
+async def _running_server(context: Any, limits: CallerLimits) -> AsyncIterator[_RunningServer]:
+    """Run a server until the end of the block; it answers as the scenario says."""
+
+    async def handle(req: CallerRequest) -> CallerResponse:
+        return await CallerSteps._handle(context, req)
+
+    address = _free_address()
+    server = HttpServer(address=f"{address[0]}:{address[1]}", limits=lambda: limits, handle=handle)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve)
+        yield _RunningServer(server=server, address=address)
+        nursery.cancel_scope.cancel()
+
+
 async def _answer_or_reset(stream: trio.SocketStream) -> str:
     """Return "answered", "unread" if the connection was reset, or "lost" if it only ended.
 
@@ -281,24 +306,16 @@
         "{reason}"
     )
     def requests_at_close(context: Any, most: int, reason: str) -> None:
-        async def handle(req: CallerRequest) -> CallerResponse:
-            return await CallerSteps._handle(context, req)
-
         async def main() -> None:
-            address = _free_address()
             limits = replace(LIMITS, idle_timeout_s=REST_S if "idle" in reason else 60.0)
-            server = HttpServer(
-                address=f"{address[0]}:{address[1]}", limits=lambda: limits, handle=handle
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
+            async with _running_server(context, limits) as running:
                 for steps in range(1, most + 1):
-                    caller = socket.create_connection(address)
+                    caller = socket.create_connection(running.address)
                     await trio.sleep(REST_S * 0.9)
                     sender = _SendAtStep(caller=caller, steps=steps)
                     trio.lowlevel.add_instrument(sender)
                     if "stops" in reason:
-                        for conn in list(server._connections):
+                        for conn in list(running.server._connections):
                             conn.close_soon()
                     with trio.move_on_after(0.5):
                         while not sender.sent:
@@ -312,7 +329,6 @@
                     stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
                     context.answers.append(await _answer_or_reset(stream))
                     await stream.aclose()
-                nursery.cancel_scope.cancel()
 
         context.answers = []
         trio.run(main)
@@ -323,9 +339,6 @@
         "{reason}"
     )
     def requests_after_shutdown(context: Any, count: int, reason: str) -> None:
-        async def handle(req: CallerRequest) -> CallerResponse:
-            return await CallerSteps._handle(context, req)
-
         async def answer(caller: socket.socket) -> None:
             caller.setblocking(False)
             stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
@@ -333,19 +346,14 @@
             await stream.aclose()
 
         async def main() -> None:
-            address = _free_address()
             limits = replace(LIMITS, idle_timeout_s=REST_S if "idle" in reason else 60.0)
-            server = HttpServer(
-                address=f"{address[0]}:{address[1]}", limits=lambda: limits, handle=handle
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
-                callers = [socket.create_connection(address) for _ in range(count)]
+            async with _running_server(context, limits) as running:
+                callers = [socket.create_connection(running.address) for _ in range(count)]
                 sender = _SendAfterShutdown(callers=callers)
                 trio.lowlevel.add_instrument(sender)
                 await trio.sleep(REST_S * 0.9)
                 if "stops" in reason:
-                    for conn in list(server._connections):
+                    for conn in list(running.server._connections):
                         conn.close_soon()
                 with trio.move_on_after(2.0):
                     while sender.waiting:
@@ -354,7 +362,6 @@
                 async with trio.open_nursery() as answers:
                     for caller in callers:
                         answers.start_soon(answer, caller)
-                nursery.cancel_scope.cancel()
 
         context.answers = []
         trio.run(main)
@@ -377,25 +384,16 @@
         "stopped meanwhile"
     )
     def request_after_stop(context: Any, seconds: float) -> None:
-        async def handle(req: CallerRequest) -> CallerResponse:
-            return await CallerSteps._handle(context, req)
-
         async def main() -> None:
-            address = _free_address()
-            server = HttpServer(
-                address=f"{address[0]}:{address[1]}", limits=lambda: LIMITS, handle=handle
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
-                stream = await trio.open_tcp_stream(*address)
+            async with _running_server(context, LIMITS) as running:
+                stream = await trio.open_tcp_stream(*running.address)
                 await stream.send_all(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
                 await stream.receive_some(65_536)
-                server.announce_close()
-                server.close_idle()
+                running.server.announce_close()
+                running.server.close_idle()
                 await trio.sleep(seconds)
                 await stream.send_all(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
                 await CallerSteps._read(context, stream)
-                nursery.cancel_scope.cancel()
 
         trio.run(main)
 
@@ -487,17 +485,9 @@
         "asked for"
     )
     def send_endless_body(context: Any) -> None:
-        async def handle(req: CallerRequest) -> CallerResponse:
-            return await CallerSteps._handle(context, req)
-
         async def main() -> None:
-            address = _free_address()
-            server = HttpServer(
-                address=f"{address[0]}:{address[1]}", limits=lambda: LIMITS, handle=handle
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(server.serve)
-                stream = await trio.open_tcp_stream(*address)
+            async with _running_server(context, LIMITS) as running:
+                stream = await trio.open_tcp_stream(*running.address)
                 await stream.send_all(
                     b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nPOST /2 HTTP/1.1\r\nHost: a\r\n"
                     b"Expect: 100-continue\r\nContent-Length: 1000000000\r\n\r\n"
@@ -506,7 +496,6 @@
                     while True:
                         await stream.send_all(bytes(65_536))
                         context.sent_bytes += 65_536
-                nursery.cancel_scope.cancel()
 
         context.sent_bytes = 0
         trio.run(main)
