--- a/features/steps/platform_configurations_steps.py
+++ b/features/steps/platform_configurations_steps.py
@@ -198,8 +198,8 @@
             )
             context.longest_s = []
             near, far = trio.testing.memory_stream_pair()
-            sender = FrameStream(stream=near, peer="receiver")  # type: ignore[arg-type]
-            receiver = FrameStream(stream=far, peer="sender")  # type: ignore[arg-type]
+            sender = FrameStream(stream=near, peer="receiver")
+            receiver = FrameStream(stream=far, peer="sender")
             times = TaskStepTimes()
 
             async def send() -> None:
--- a/src/acaciasaddle/platform/_store.py
+++ b/src/acaciasaddle/platform/_store.py
@@ -45,7 +45,6 @@
     from acaciasaddle.model._rows import JsonObject
     from acaciasaddle.observe import Metrics
 
-
 CALL_TIMEOUT_S = 0.9
 """Timeout of one call, in addition to its wait. A store that is 90 times slower than usual answers
 in 0.4 s."""
