Log and count delays of the event loop

Change: a trio instrument notes passes of the loop of 0.1 s and more (busy) and waits that end as much too late (late); one line and one counter each, limited by the log's rate. Checked: features/observe/logs.feature; without the monitor there is no such line or counter.

--- a/features/observe/logs.feature
+++ b/features/observe/logs.feature
@@ -18,3 +18,15 @@
     Given the rate limiter of a node
     When the event "request" is logged 300 times
     Then 300 lines are written
+
+  Scenario Outline: a delay of the event loop is logged with its kind, <kind>
+    Guards against requests that are late without a line that says why.
+
+    Given an event loop that is watched
+    When <cause>
+    Then one delay of kind "<kind>" and at least 0.2 s is logged and counted
+
+    Examples:
+      | kind | cause                                  |
+      | busy | a task runs for 0.2 s without a pause  |
+      | late | the process sleeps 0.2 s past a wait   |
--- a/features/steps/observe_logs_steps.py
+++ b/features/steps/observe_logs_steps.py
@@ -9,11 +9,15 @@
 from unittest import mock
 
 import structlog
+import trio
 from behave import given
 from behave import then
 from behave import when
+from structlog.testing import capture_logs
 
 from acaciasaddle.observe import BoundedWriter
+from acaciasaddle.observe import LoopMonitor
+from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import RateLimiter
 
 
@@ -103,3 +107,38 @@
     @then("the last line says that {count:d} were suppressed")
     def suppressed(context: Any, count: int) -> None:
         assert context.lines[-1]["suppressed"] == count, context.lines[-1]
+
+
+class LoopMonitorSteps:
+    """Guards against late requests of a busy or paused process that no log line explains."""
+
+    @staticmethod
+    @given("an event loop that is watched")
+    def watched(context: Any) -> None:
+        context.loop_metrics = mock.Mock(spec=NullMetrics)
+        context.loop_monitor = LoopMonitor(metrics=context.loop_metrics)
+
+    @staticmethod
+    @when("a task runs for {seconds:g} s without a pause")
+    def busy(context: Any, seconds: float) -> None:
+        async def main() -> None:
+            await trio.lowlevel.checkpoint()
+            time.sleep(seconds)
+
+        with capture_logs() as context.loop_lines:
+            trio.run(main, instruments=[context.loop_monitor])
+
+    @staticmethod
+    @when("the process sleeps {seconds:g} s past a wait")
+    def late(context: Any, seconds: float) -> None:
+        with capture_logs() as context.loop_lines:
+            context.loop_monitor.before_io_wait(0.01)
+            time.sleep(0.01 + seconds)
+            context.loop_monitor.after_io_wait(0.01)
+
+    @staticmethod
+    @then('one delay of kind "{kind}" and at least {seconds:g} s is logged and counted')
+    def delay(context: Any, kind: str, seconds: float) -> None:
+        lines = [line for line in context.loop_lines if line["kind"] == kind]
+        assert len(lines) == 1 and lines[0]["seconds"] >= seconds, context.loop_lines
+        context.loop_metrics.count.assert_called_once_with(f"loop.delayed.{kind}")
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -25,6 +25,7 @@
 from acaciasaddle.links import Links
 from acaciasaddle.node._settings import load_node_settings
 from acaciasaddle.node._watch import Watcher
+from acaciasaddle.observe import LoopMonitor
 from acaciasaddle.observe import RegistryMetrics
 from acaciasaddle.observe import StatsdMetrics
 from acaciasaddle.observe import configure_node_logging
@@ -231,4 +232,5 @@
     configure_node_logging(level=settings.log_level, host=settings.host_id)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 100)
-    trio.run(Node(settings=settings).run)
+    node = Node(settings=settings)
+    trio.run(node.run, instruments=[LoopMonitor(metrics=node.metrics)])
--- a/src/acaciasaddle/observe/__init__.py
+++ b/src/acaciasaddle/observe/__init__.py
@@ -8,6 +8,7 @@
 from acaciasaddle.observe._logs import configure_node_logging
 from acaciasaddle.observe._logs import describe_error
 from acaciasaddle.observe._logs import get_logger
+from acaciasaddle.observe._loop import LoopMonitor
 from acaciasaddle.observe._metrics import Metrics
 from acaciasaddle.observe._metrics import NullMetrics
 from acaciasaddle.observe._metrics import StatsdMetrics
@@ -15,6 +16,7 @@
 
 __all__ = [
     "BoundedWriter",
+    "LoopMonitor",
     "Metrics",
     "NullMetrics",
     "RateLimiter",
