Log requests that are cut off with their ids

Cause: a request whose caller's connection ended before its response left no line of its own: 'caller disconnected' has a number only, and the end of a stop the number of connections. So on-call could not tell from an id whether a request was never read, was abandoned by its caller or was broken off by the host. Change: the line 'request' with status 0, outcome and sends, and the counter forward.cut_off; 'listener stopped' also has the number of busy connections. Checked: forward/forwarder.feature, 'is logged with its id', which had no line to find before.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -333,3 +333,8 @@
       | endless chunks     | 502    |
       | endless unframed   | 502    |
       | endless others     | 502    |
+
+  Scenario: a request that is cut off because its caller's connection ends is logged with its id
+    Given upstream "u1" of the open service answers "silent"
+    When a booking is forwarded and its caller leaves after 0.1 s
+    Then the log shows that the request was cut off after 1 send
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tracemalloc
 from collections import Counter
 from contextlib import suppress
@@ -203,6 +204,12 @@
     def booking(context: Any) -> None:
         ForwarderRequestSteps._forward(context, ["/booking/1"])
 
+    @staticmethod
+    @when("a booking is forwarded and its caller leaves after {seconds:g} s")
+    def abandoned_booking(context: Any, seconds: float) -> None:
+        context.caller_leaves_after_s = seconds
+        ForwarderRequestSteps._forward(context, ["/booking/1"])
+
     @staticmethod
     @when("a {kind} with {seconds:d} s left is forwarded")
     def patient_request(context: Any, kind: str, seconds: int) -> None:
@@ -272,7 +279,8 @@
                     req = _request(
                         path, number, key, deadline_ms=getattr(context, "deadline_ms", 500)
                     )
-                    context.response = await forwarder.handle(req)
+                    with trio.move_on_after(getattr(context, "caller_leaves_after_s", math.inf)):
+                        context.response = await forwarder.handle(req)
                     context.waited = trio.current_time() - started
                     await trio.sleep(0.02)
                     ForwarderRequestSteps._restart(context, view, number + 1)
@@ -439,3 +447,12 @@
         assert logged[0]["request"] and logged[0]["step"], logged
         counter = f"forward.refused.{reason.replace(' ', '_')}"
         assert context.metrics.counters[counter] == 1, context.metrics.counters
+
+    @staticmethod
+    @then("the log shows that the request was cut off after {count:d} send")
+    def cut_off(context: Any, count: int) -> None:
+        lines = [line for line in context.log_lines if line["event"] == "request"]
+        assert len(lines) == 1, lines
+        assert lines[0]["request"] and lines[0]["status"] == 0, lines
+        assert lines[0]["outcome"] == "unknown" and lines[0]["sends"] == count, lines
+        assert context.metrics.counters["forward.cut_off"] == 1, context.metrics.counters
--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -113,6 +113,7 @@
     """Stands in for a server whose connection stays open."""
 
     open_connections = 1
+    busy_connections = 0
 
     def announce_close(self) -> None:
         """Do nothing."""
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -206,7 +206,11 @@
         self._callers.close_idle()
         with trio.move_on_at(stop.ends_at):
             await self._callers.wait_until_ended()
-        log.info("listener stopped", open=self._callers.open_connections)
+        log.info(
+            "listener stopped",
+            open=self._callers.open_connections,
+            busy=self._callers.busy_connections,
+        )
 
 
 ACCEPT_MARGIN_S = 2.6
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -80,6 +80,7 @@
     BlockReason.SILENT: "the owner is silent",
     BlockReason.ASKED_TO_WAIT: "the owner asked to wait",
 }
+CUT_OFF_REASON = "the caller's connection ended"
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run. An upstream's response with one of
 them is no such promise unless it says so itself."""
@@ -175,7 +176,10 @@
         return self._reported_busy
 
     async def handle(self, req: CallerRequest) -> CallerResponse:
-        """Return the response to a request; refusals and failures become error responses."""
+        """Return the response to a request; refusals and failures become error responses.
+
+        If it is cancelled, as when the caller's connection ends, the request is logged as cut off.
+        """
         metadata = self._dialect.read_request(req.fields)
         pending: _PendingRequest | None = None
         try:
@@ -186,6 +190,12 @@
             response = self._refusal_response(exc)
             self._log_request(req, metadata, pending, response, reason=exc.message, step=exc.step)
             return response
+        except trio.Cancelled:
+            self._metrics.count("forward.cut_off")
+            self._log_outcome(
+                req, metadata, pending, status=0, reason=CUT_OFF_REASON, step="forward.cut_off"
+            )
+            raise
         self._log_request(req, metadata, pending, response, reason="", step="")
         return response
 
@@ -622,18 +632,29 @@
         reason: str,
         step: str,
     ) -> None:
-        cfg = self._view.configuration
-        milliseconds = (trio.current_time() - req.received_at) * 1000
         kind = pending.route.repeat.value if pending else "unrouted"
-        self._metrics.timing(f"forward.request.{kind}", milliseconds)
+        self._metrics.timing(f"forward.request.{kind}", _age_ms(req))
         self._metrics.count(f"forward.status.{response.status}")
         if reason:
             self._metrics.count(f"forward.refused.{reason.replace(' ', '_')}")
+        self._log_outcome(req, metadata, pending, status=response.status, reason=reason, step=step)
+
+    def _log_outcome(
+        self,
+        req: CallerRequest,
+        metadata: RequestMetadata,
+        pending: _PendingRequest | None,
+        *,
+        status: int,
+        reason: str,
+        step: str,
+    ) -> None:
+        cfg = self._view.configuration
         log.info(
             "request",
             request=metadata.request_id,
-            status=response.status,
-            ms=round(milliseconds, 1),
+            status=status,
+            ms=round(_age_ms(req), 1),
             route=pending.route.name if pending else "",
             service=pending.service.name if pending else "",
             key=metadata.key,
@@ -652,6 +673,10 @@
         return owners.version if owners is not None else 0
 
 
+def _age_ms(req: CallerRequest) -> float:
+    return (trio.current_time() - req.received_at) * 1000
+
+
 def _forwarded_fields(resp: Response) -> dict[str, str]:
     """Return the fields that reach the caller: an upstream may limit any to its connection."""
     names = {name.lower().decode("latin-1") for name, _ in end_to_end_headers(resp.headers)}
