Tables with eras: revisions, and the error of a write that builds on an earlier era

Change: a revision is the era and the version in one number; Table has its era, Scan tells of rows of earlier eras. Nothing uses them yet. Conclusion: comparisons in the product stay as they are, on revisions.

--- a/src/acaciasaddle/errors/__init__.py
+++ b/src/acaciasaddle/errors/__init__.py
@@ -18,6 +18,7 @@
 from acaciasaddle.errors._tree import PlatformUnavailableError
 from acaciasaddle.errors._tree import RefusedError
 from acaciasaddle.errors._tree import RequestError
+from acaciasaddle.errors._tree import StoreRestoredError
 from acaciasaddle.errors._tree import UpstreamError
 from acaciasaddle.errors._tree import UpstreamUnreachableError
 from acaciasaddle.errors._tree import WriteOutcomeUnknownError
@@ -38,6 +39,7 @@
     "PlatformUnavailableError",
     "RefusedError",
     "RequestError",
+    "StoreRestoredError",
     "UpstreamError",
     "UpstreamUnreachableError",
     "WriteOutcomeUnknownError",
--- a/src/acaciasaddle/errors/_tree.py
+++ b/src/acaciasaddle/errors/_tree.py
@@ -72,6 +72,13 @@
         self.keys = keys
 
 
+class StoreRestoredError(ConditionFailedError):
+    """A conditional write failed because the store came back from an older copy.
+
+    Its conditions name revisions of an earlier era, which say nothing of the rows of this one.
+    """
+
+
 class HistoryExpiredError(PlatformError):
     """The platform no longer has the requested changes; all rows have to be read again."""
 
--- a/src/acaciasaddle/model/__init__.py
+++ b/src/acaciasaddle/model/__init__.py
@@ -8,6 +8,10 @@
 from acaciasaddle.model._requests import OnceState
 from acaciasaddle.model._requests import ResponseSink
 from acaciasaddle.model._requests import WorkRequest
+from acaciasaddle.model._revisions import MAX_ERA
+from acaciasaddle.model._revisions import era_of
+from acaciasaddle.model._revisions import revision_of
+from acaciasaddle.model._revisions import version_of
 from acaciasaddle.model._rows import ConfigRow
 from acaciasaddle.model._rows import HostRow
 from acaciasaddle.model._rows import HostState
@@ -23,6 +27,7 @@
 
 __all__ = [
     "CHUNK_SHARDS",
+    "MAX_ERA",
     "BodySource",
     "ConfigRow",
     "Headers",
@@ -39,5 +44,8 @@
     "UpstreamId",
     "UpstreamRow",
     "WorkRequest",
+    "era_of",
+    "revision_of",
     "shard_of",
+    "version_of",
 ]
--- a/src/acaciasaddle/table/_api.py
+++ b/src/acaciasaddle/table/_api.py
@@ -17,10 +17,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Scan:
-    """Rows that changed after a revision, and the table's revision at the time of the read."""
+    """Rows that changed after a revision, and the table's revision at the time of the read.
+
+    ``earlier_revision`` is that of the newest row that was written in an earlier era of the store,
+    0 if there is none. These rows are not part of ``rows``.
+    """
 
     revision: int
     rows: tuple[Row, ...]
+    earlier_revision: int = 0
 
 
 class Table(ABC):
@@ -29,8 +34,17 @@
     Reads raise ``PlatformUnavailableError``. Writes raise ``ConditionFailedError`` if a row does
     not have the expected version, ``PlatformUnavailableError`` if they certainly did not take
     effect, and ``WriteOutcomeUnknownError`` if that is not known.
+
+    A table whose store may come back from an older copy has an ``era``, which rises each time. It
+    then has only the rows that were written in this era, and a write that builds on revisions of an
+    earlier one raises ``StoreRestoredError``.
     """
 
+    @property
+    def era(self) -> int:
+        """The newest era of the store that this client has seen, 0 if the store has none."""
+        return 0
+
     @abstractmethod
     async def read(self, key: str) -> Row | None:
         """Return a row, or ``None`` if it does not exist."""
