Soak: scenario of two restores, and tests of the drawn restores and their summary

Change: runs.feature lets the store come back twice from an older copy, each time 2 s after an upstream has joined; checks.feature checks the draws and the summary.

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -55,6 +55,14 @@
     Then drawing them again gives the same faults, which differ between seeds
     And faults of one target do not overlap
 
+  Scenario: a seed always gives the same restores, each after the restart of an upstream
+    Given the restores of seeds 1 to 20
+    Then drawing the restores again gives the same ones, which differ between seeds
+    And an upstream is started again 0.5 to 3 s before each restore
+
+  Scenario: a soak tells what followed each restore
+    Then the keys without an owner, the outcomes and the calls after two restores are counted
+
   Scenario: a seed always gives the same planned work, and a SIGHUP goes with each stop
     Given the planned work of seeds 1 to 20
     Then drawing it again gives the same work, which differs between seeds
--- a/features/soak/runs.feature
+++ b/features/soak/runs.feature
@@ -25,6 +25,10 @@
     When the soak runs beside upstreams that leave quietly and ask to wait
     Then the soak has no finding, and at least 100 requests were completed
 
+  Scenario: a store that comes back from older copies breaks no promise
+    When the soak runs with 2 restores of the store, each 2 s after an upstream has joined
+    Then the soak has no finding, and at least 100 requests were completed
+
   Scenario: a planned stop leaves no request without an answer, however slow the work is
     When the soak runs with seed 1 and 4 planned stops within 8 s under slow work
     Then the soak has no finding, and at least 100 requests were completed
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -9,12 +9,16 @@
 from behave import given
 from behave import then
 
+from acaciasaddle.emulator.soak import RESTORE
+from acaciasaddle.emulator.soak import RESTORE_WITH_LATE_WRITES
 from acaciasaddle.emulator.soak import check_records
 from acaciasaddle.emulator.soak import draw_changes
 from acaciasaddle.emulator.soak import draw_faults
 from acaciasaddle.emulator.soak import draw_reloads
+from acaciasaddle.emulator.soak import draw_restores
 from acaciasaddle.emulator.soak import draw_stops
 from acaciasaddle.emulator.soak import judged_pauses
+from acaciasaddle.emulator.soak import summarize_restores
 
 Records = list[dict[str, Any]]
 
@@ -303,6 +307,73 @@
             steps = [after - before for before, after in pairwise(limits)]
             assert min(steps) < 0 < max(steps), limits
 
+    @staticmethod
+    def _draw_restores(seed: int) -> list[Any]:
+        return draw_restores(seed=seed, count=5, window_s=12.0, upstreams=["u1", "u2"])
+
+    @staticmethod
+    @given("the restores of seeds {first:d} to {last:d}")
+    def restores_drawn(context: Any, first: int, last: int) -> None:
+        seeds = range(first, last + 1)
+        context.restores = {seed: SoakFaultSteps._draw_restores(seed) for seed in seeds}
+
+    @staticmethod
+    @then("drawing the restores again gives the same ones, which differ between seeds")
+    def restores_reproducible(context: Any) -> None:
+        again = {seed: SoakFaultSteps._draw_restores(seed) for seed in context.restores}
+        assert again == context.restores
+        assert len({tuple(faults) for faults in again.values()}) == len(again)
+
+    @staticmethod
+    @then("an upstream is started again {first:g} to {last:g} s before each restore")
+    def joins(context: Any, first: float, last: float) -> None:
+        names = set()
+        for faults in context.restores.values():
+            for restart, restore in zip(faults[::2], faults[1::2], strict=True):
+                names.add(restore.name)
+                assert (restore.target, restart.target[0]) == ("store", "u"), (restart, restore)
+                # The load has not begun before 0 s.
+                lead_s = restore.at_s - restart.at_s - restart.length_s
+                assert restart.at_s == 0.0 or first <= lead_s <= last, (restart, restore)
+        assert names == {RESTORE, RESTORE_WITH_LATE_WRITES}, names
+
+    @staticmethod
+    @then("the keys without an owner, the outcomes and the calls after two restores are counted")
+    def summarized(context: Any) -> None:
+        restores = [
+            {"kind": "restored", "at": 11.4, "left": 10.0, "returned": 11.0, "age_s": 3.0},
+            {"kind": "restored", "at": 30.4, "left": 29.0, "returned": 30.0, "age_s": 3.0},
+        ]
+        leases = [
+            _held(5.0, "u1@1", until=12.0, first=0, last=4_095),
+            _held(14.5, "u2@1", until=70.0, first=0, last=2_047),
+            _held(15.0, "u2@1", until=70.0, first=2_048, last=4_095),
+            _held(5.0, "u3@1", until=70.0, first=4_096, last=8_191),
+            _released(20.0, "u3@1", 4_096, 6_143),
+            _held(20.5, "u2@1", until=70.0, first=4_096, last=6_143),
+            _held(5.0, "u4@1", until=70.0, first=8_192, last=65_535),
+            {"kind": "dead", "at": 40.0, "upstream": "u4"},
+            _held(45.0, "u4@2", until=70.0, first=8_192, last=65_535),
+        ]
+        attempts = [
+            {**_attempt(outcome), "started": started, "at": started}
+            for outcome, started in (
+                ("not-run", 10.9),
+                ("not-run", 11.0),
+                ("completed", 20.9),
+                ("completed", 21.1),
+                ("unknown", 39.0),
+                ("completed", 60.0),
+            )
+        ]
+        records = sorted([*restores, *leases, *attempts], key=lambda record: record["at"])
+        first, second = summarize_restores(records, store_calls=[7, 8])
+        assert first.unowned_s == (0.5, 2.5, 3.0), first
+        assert first.outcomes == {"not-run": 1, "completed": 1}, first
+        assert (first.away_s, first.age_s, first.store_calls) == (1.0, 3.0, 7), first
+        assert second.unowned_s == (5.0,) * 28, second
+        assert (second.outcomes, second.store_calls) == ({"unknown": 1}, 8), second
+
     @staticmethod
     @then("faults of one target do not overlap")
     def no_overlap(context: Any) -> None:
--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -14,6 +14,8 @@
 from behave import then
 from behave import when
 
+from acaciasaddle.emulator.soak import RESTORE
+from acaciasaddle.emulator.soak import RESTORE_WITH_LATE_WRITES
 from acaciasaddle.emulator.soak import Fault
 from acaciasaddle.emulator.soak import SoakOptions
 from acaciasaddle.emulator.soak import run_soak
@@ -46,6 +48,7 @@
     "an upstream that leaves quietly": (_fault("u2", "stop"),),
     "upstreams that ask to wait": (HARMLESS_FAULT,),
 }
+RESTORE_INTERVAL_S = 10.0
 QUIET_LEAVE_S = 4.5
 PAUSE_SHARE = 0.05
 MIN_PAUSES = 12
@@ -114,6 +117,29 @@
         )
         context.soak = trio.run(SoakRunSteps._run, options)
 
+    @staticmethod
+    @when(
+        "the soak runs with {count:d} restores of the store, each {join_s:g} s after an upstream "
+        "has joined"
+    )
+    def restored(context: Any, count: int, join_s: float) -> None:
+        faults = []
+        for index in range(count):
+            at_s = index * RESTORE_INTERVAL_S
+            leaving = Fault(at_s=at_s, length_s=1.0, target=f"u{index + 1}", name="stop")
+            restore = Fault(
+                # An upstream that stops serves for ``drain_s`` of its settings first.
+                at_s=at_s + 2.0 + leaving.length_s + join_s,
+                length_s=1.0 + index,
+                target="store",
+                name=(RESTORE_WITH_LATE_WRITES, RESTORE)[index % 2],
+                age_s=join_s + 0.5,
+            )
+            faults += [leaving, restore]
+        options = SoakOptions(seed=1, hosts=3, upstreams=4, fixed_faults=tuple(faults))
+        context.soak = trio.run(SoakRunSteps._run, options)
+        assert len(context.soak.restores) == count, context.soak.restores
+
     @staticmethod
     @when(
         "the soak runs with seed {seed:d} and {stops:d} planned stops within {window_s:g} s "
--- a/src/acaciasaddle/emulator/soak/__init__.py
+++ b/src/acaciasaddle/emulator/soak/__init__.py
@@ -6,6 +6,8 @@
 from acaciasaddle.emulator.soak._checks import Finding
 from acaciasaddle.emulator.soak._checks import check_records
 from acaciasaddle.emulator.soak._checks import judged_pauses
+from acaciasaddle.emulator.soak._faults import RESTORE
+from acaciasaddle.emulator.soak._faults import RESTORE_WITH_LATE_WRITES
 from acaciasaddle.emulator.soak._faults import Fault
 from acaciasaddle.emulator.soak._faults import draw_changes
 from acaciasaddle.emulator.soak._faults import draw_faults
@@ -23,6 +25,8 @@
 
 __all__ = [
     "DEADLINE_S",
+    "RESTORE",
+    "RESTORE_WITH_LATE_WRITES",
     "Fault",
     "Finding",
     "RecordFile",
