Store stand-in: remove rows, and refuse more than 100 entries

Cause: the stand-in ignored the rows to remove of a transaction, and took any number of entries. Change: it removes them, and answers 413 above 100 entries. Conclusion: a step of soak/standins.feature covers both.

--- a/features/soak/standins.feature
+++ b/features/soak/standins.feature
@@ -4,6 +4,7 @@
   Scenario: the store checks conditions, reports changes and can drop its history
     Given a stand-in for the users' store
     Then a write that expects no row succeeds once and fails the second time
+    And a transaction can remove rows, and has at most 100 entries
     And its feed returns a past change at once, and waits for a later one
     And after the history is dropped the feed responds with 410
     And a late write takes effect only if its condition still holds
--- a/features/steps/soak_standins_steps.py
+++ b/features/steps/soak_standins_steps.py
@@ -70,6 +70,25 @@
 
         serve(StoreApp, check)
 
+    @staticmethod
+    @then("a transaction can remove rows, and has at most {count:d} entries")
+    def removes(context: Any, count: int) -> None:
+        async def check(app: Any, address: str) -> None:
+            for key in ("a", "b"):
+                await _write(address, key, 0)
+            row = {"table": "t", "part": "", "key": "a"}
+            missing = [{**row, "key": str(number)} for number in range(count - 1)]
+            statuses = []
+            for remove in ([row, row, *missing], [row, *missing]):
+                body = {"expect": [], "put": [], "remove": remove}
+                statuses.append((await request_json(address, "POST", TRANSACT_PATH, body))[0])
+            assert statuses == [413, 200]
+            assert await _keys(address, "t") == ["b"]
+            _, page = await _feed(address, 2)
+            assert [(row["key"], row["deleted"]) for row in page["rows"]] == [("a", True)], page
+
+        serve(StoreApp, check)
+
     @staticmethod
     @then("its feed returns a past change at once, and waits for a later one")
     def feed(context: Any) -> None:
--- a/src/acaciasaddle/platform/standins/_store_app.py
+++ b/src/acaciasaddle/platform/standins/_store_app.py
@@ -27,6 +27,8 @@
 """Time without a report after which an upstream's entry is removed: three intervals of 1 s."""
 ENTRY_EXPIRY_POLL_S = 0.2
 MAX_WAIT_MS = 30_000.0
+MAX_ENTRIES = 100
+"""Largest number of entries of a transaction."""
 COPY_INTERVAL_S = 0.5
 COUNTED_S = 10.0
 """The router's calls are counted for this long after each return from a copy."""
@@ -205,6 +207,9 @@
         return sorted(latest.values(), key=lambda row: row.ver)
 
     async def _transact(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        if sum(len(body[name]) for name in ("expect", "put", "remove")) > MAX_ENTRIES:
+            await self._respond(exchange, {}, status=413)
+            return
         if self._faults.late > 0:
             self._faults.late -= 1
             await trio.sleep(self._faults.late_s)
@@ -230,6 +235,9 @@
         self._ver += 1
         for row in body["put"]:
             self._put(row["table"], row["key"], row["value"])
+        for row in body["remove"]:
+            if (row["table"], row["key"]) in self._rows:
+                self._put(row["table"], row["key"], None)
         return self._ver
 
     def _put(self, table: str, key: str, value: str | None) -> None:
