Ownership through a store that comes back from an older copy

Change: tokens have the era in their upper part. A holder that has not lapsed writes role and owners again and goes on. The last holder that has lapsed takes the role back and claims the keys that it had granted, at their tokens; owners that released them refuse. Nothing changes in a store without eras. Checked: features/keyspace, links and users_platform pass as before (era 0).

--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -19,6 +19,7 @@
 from acaciasaddle.errors import AuthorityLostError
 from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import PlatformError
+from acaciasaddle.errors import StoreRestoredError
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.errors import WriteOutcomeUnknownError
 from acaciasaddle.kernel import Service
@@ -30,6 +31,14 @@
 from acaciasaddle.keyspace._grants import RELEASE_RETRY_S
 from acaciasaddle.keyspace._grants import LeaseManager
 from acaciasaddle.keyspace._leases import lease_end
+from acaciasaddle.keyspace._restore import Claims
+from acaciasaddle.keyspace._restore import KnownOwners
+from acaciasaddle.keyspace._restore import claim_limit_s
+from acaciasaddle.keyspace._restore import first_map
+from acaciasaddle.keyspace._restore import quiet_s
+from acaciasaddle.keyspace._restore import same_owners_anew
+from acaciasaddle.keyspace._restore import with_fences_of
+from acaciasaddle.keyspace._role import COORDINATOR_TABLE
 from acaciasaddle.keyspace._role import ROLE_LEASE_S
 from acaciasaddle.keyspace._role import ROLE_RENEWAL_S
 from acaciasaddle.keyspace._role import CoordinatorRole
@@ -128,6 +137,9 @@
         self._joined_at: dict[str, float] = {}
         self._started_moves: set[tuple[str, int]] = set()
         self._stopping = False
+        self._known_owners: KnownOwners | None = None
+        self._claims: Claims | None = None
+        self._quiet_until: float | None = None
         # Returns whether a link reports the row of the role, which is then not polled.
         self.linked: Callable[[], bool] = lambda: False
 
@@ -210,7 +222,9 @@
         previous = await self._role.try_take()
         if previous is None:
             return
+        is_last_holder, self._role.is_last_holder = self._role.is_last_holder, False
         await self._load_owners(taken_at=started, vacant=not previous)
+        self._begin_era(is_last_holder=is_last_holder)
         self._role.taken = True
         log.info("role taken", previous=previous, version=self._role.version)
 
@@ -224,10 +238,36 @@
         self._started_moves.clear()
         # The previous coordinator may have granted the longest leases until its role lapsed.
         lapse_s = 0.0 if vacant else ROLE_LEASE_S
+        claimed = self._known_owners.spans if self._known_owners is not None else []
         self._leases.reset(
-            held_until=lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s)
+            held_until=lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s),
+            also={span.owner for _, span in claimed},
         )
 
+    def _begin_era(self, *, is_last_holder: bool) -> None:
+        """Decide which keys may be granted or claimed after the store came back from a copy."""
+        known, self._known_owners, self._claims = self._known_owners, None, None
+        self._quiet_until = None
+        restored_at = self._role.restored_at
+        if restored_at is None:
+            return
+        quiet_until = restored_at + quiet_s(self._max_lease_s)
+        if self._clock.now() < quiet_until or self._role.earlier_rows:
+            self._quiet_until = quiet_until
+        if (
+            known is not None
+            and is_last_holder
+            and not self._owners
+            and restored_at < known.written_at + claim_limit_s(self._max_lease_s)
+        ):
+            self._claims = Claims(
+                known=known,
+                restored_at=restored_at,
+                leases=self._leases,
+                view=self._view,
+                clock=self._clock,
+            )
+
     async def _resolve_unknown_write(self) -> bool:
         """Adopt the owners that a write with an unknown outcome may have written.
 
@@ -235,6 +275,8 @@
         """
         if not await self._role.resolve_unknown_write():
             return False
+        if self._role.is_of_earlier_era:
+            return True
         scan = await self._table.scan(f"{OWNERS_TABLE}/", since=0)
         for row in scan.rows:
             service = row.key.partition("/")[2]
@@ -261,12 +303,19 @@
                     if outcome_unknown and not await self._resolve_unknown_write():
                         break
                     outcome_unknown = False
+                    if self._role.is_of_earlier_era:
+                        if self._role.lapsed:
+                            self._keep_known_owners()
+                            break
+                        await self._write_again()
                     if self._leases.is_cut_off():
                         log.warning("most upstreams are out of reach, giving the role back")
                         await self._role.step_down()
                         break
                     await self._run_round()
                     self._start_moves(nursery)
+                except StoreRestoredError as exc:
+                    log.warning("write not made", reason=str(exc))
                 except ConditionFailedError as exc:
                     log.info("role lost", reason=str(exc))
                     break
@@ -280,6 +329,56 @@
             nursery.cancel_scope.cancel()
         self._role.reset()
 
+    async def _write_again(self) -> None:
+        """Write the role and the owners into a store that came back from an older copy.
+
+        This host has the role without a break, so moves in progress and leases go on.
+        """
+        era = self._table.era
+        owners = {name: with_fences_of(era, value) for name, value in self._owners.items()}
+        versions = await self._role.write_again(
+            {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in owners.items()}
+        )
+        for name, value in owners.items():
+            self._adopt(name, replace(value, version=versions[f"{OWNERS_TABLE}/{name}"]))
+        log.warning("owners written again", era=era, services=sorted(owners))
+
+    def _keep_known_owners(self) -> None:
+        """Keep the owners that this host knows, to claim their keys if it gets the role back."""
+        owners = dict(self._owners)
+        for move in self._completed_moves:
+            owners[move.service] = _complete_move(owners[move.service], move.span)
+        spans = [
+            (service, span)
+            for service, value in owners.items()
+            for span in value.spans
+            if not span.moving
+        ]
+        written_at = self._clock.now() - self._role.since_write_s
+        if self._claims is not None:
+            spans += self._claims.waiting
+            written_at = min(written_at, self._claims.written_at)
+        self._known_owners = KnownOwners(written_at=written_at, spans=spans)
+        self._role.is_last_holder = True
+        log.warning("role lapsed before the store came back from an older copy", spans=len(spans))
+
+    async def _end_quiet_time(self) -> None:
+        """Have all keys without an owner granted anew: no lease of an earlier era runs any more."""
+        era = self._table.era
+        owners = dict(self._owners)
+        for service, known in self._view.owners.items():
+            if service not in owners:
+                usable = {
+                    Owner(incarnation=entry.life, address=entry.address)
+                    for entry in self._view.upstreams_of(service)
+                }
+                owners[service] = same_owners_anew(known, usable, era=era)
+        await self._write_changes(owners)
+        self._quiet_until = self._claims = None
+        log.info("leases of the earlier era have ended", era=era)
+        for table in (OWNERS_TABLE, COORDINATOR_TABLE):
+            await self._table.drop_earlier_rows(f"{table}/")
+
     def _start_moves(self, nursery: trio.Nursery) -> None:
         for service, owners in self._owners.items():
             for span in owners.spans:
@@ -290,34 +389,31 @@
     async def _run_round(self) -> None:
         """Plan and write one round of changes. Without any, only renew the role if that is due."""
         now = self._clock.now()
+        if self._quiet_until is not None and now >= self._quiet_until:
+            await self._end_quiet_time()
+            return
         planned: list[SpanMove] = []
         owners = dict(self._owners)
+        if self._claims is not None:
+            await self._claims.claim()
+            owners = self._claims.add_to(self._owners, era=self._table.era)
         for move in self._completed_moves:
             owners[move.service] = _complete_move(owners[move.service], move.span)
         completed, self._completed_moves = self._completed_moves, []
         cfg = self._view.configuration
         keyed = [svc.name for svc in cfg.services.values() if svc.keyed] if cfg else []
         for service in keyed:
-            current = owners.get(service, KeyMap(spans=(), fence=0, version=0))
+            if self._quiet_until is not None and service not in owners:
+                continue
+            current = owners.get(service, first_map(self._table.era))
             owners[service], span_moves = self._plan(service, current, now)
             planned += span_moves
-        changed = {
-            name: value for name, value in owners.items() if value is not self._owners.get(name)
-        }
-        if not changed and self._role.since_write_s < ROLE_RENEWAL_S:
-            return
-        conditions = {
-            f"{OWNERS_TABLE}/{name}": self._owners[name].version if name in self._owners else 0
-            for name in changed
-        }
-        puts = {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in changed.items()}
         try:
-            versions = await self._role.write(conditions, puts)
+            if await self._write_changes(owners) and self._claims is not None:
+                self._claims.note_written()
         except PlatformError:
             self._completed_moves = completed + self._completed_moves
             raise
-        for name, value in changed.items():
-            self._adopt(name, replace(value, version=versions[f"{OWNERS_TABLE}/{name}"]))
         for move in planned:
             log.info(
                 "keys move",
@@ -330,6 +426,26 @@
                 version=self._owners[move.service].version,
             )
 
+    async def _write_changes(self, owners: dict[str, KeyMap]) -> bool:
+        """Write the owners that have changed, or renew the role if that is due.
+
+        Return whether anything was written.
+        """
+        changed = {
+            name: value for name, value in owners.items() if value is not self._owners.get(name)
+        }
+        if not changed and self._role.since_write_s < ROLE_RENEWAL_S:
+            return False
+        conditions = {
+            f"{OWNERS_TABLE}/{name}": self._owners[name].version if name in self._owners else 0
+            for name in changed
+        }
+        puts = {f"{OWNERS_TABLE}/{name}": value.to_json() for name, value in changed.items()}
+        versions = await self._role.write(conditions, puts)
+        for name, value in changed.items():
+            self._adopt(name, replace(value, version=versions[f"{OWNERS_TABLE}/{name}"]))
+        return True
+
     def _plan(self, service: str, owners: KeyMap, now: float) -> tuple[KeyMap, list[SpanMove]]:
         usable = {}
         for entry in self._view.upstreams_of(service):
@@ -342,8 +458,11 @@
             owners=owners,
             candidates=candidates_by_speed(usable, slowness),
             load=self._load.key_load(service, now=now),
-            balance=True,
+            balance=self._quiet_until is None,
         )
+        if self._quiet_until is not None:
+            # Keys without an owner may be held under a lease of an earlier era.
+            moves = [move for move in moves if move.source is not None]
         span_moves = []
         for move in moves:
             owners, span_move = _apply_move(owners, service, move)
--- a/src/acaciasaddle/keyspace/_grants.py
+++ b/src/acaciasaddle/keyspace/_grants.py
@@ -16,6 +16,8 @@
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet import FleetView
     from acaciasaddle.keyspace._role import CoordinatorRole
@@ -71,14 +73,18 @@
         self._owner_states: dict[Owner, OwnerState] = {}
         self.stopping = False
 
-    def reset(self, *, held_until: float) -> None:
-        """Discard all state, and assume that all owners may hold keys until a given time."""
+    def reset(self, *, held_until: float, also: Collection[Owner] = ()) -> None:
+        """Discard all state, and assume that owners may hold keys until a given time.
+
+        These are all owners of the services' keys, and those in ``also``.
+        """
         self._owner_states.clear()
+        holders = set(also)
         for owners in self._owners.values():
             for span in owners.spans:
-                for owner in (span.owner, span.previous):
-                    if owner is not None:
-                        self._owner_states.setdefault(owner, OwnerState(settled_until=held_until))
+                holders |= {span.owner} if span.previous is None else {span.owner, span.previous}
+        for owner in holders:
+            self._owner_states[owner] = OwnerState(settled_until=held_until)
 
     def usable(self, owner: Owner) -> bool:
         """Return whether an upstream is not known to be lost."""
@@ -174,6 +180,17 @@
         """
         if not self.is_current(service, span):
             return False
+        await self._order_grant(span, handover=handover)
+        return True
+
+    async def claim(self, span: Span) -> None:
+        """Renew keys that this host granted or renewed before the store came back from a copy.
+
+        Raises the errors of ``grant``; ``FencedError`` means that they have been moved since.
+        """
+        await self._order_grant(span, handover="")
+
+    async def _order_grant(self, span: Span, *, handover: str) -> None:
         now = self._clock.now()
         if self._role.lapsed:
             raise AuthorityLostError(
@@ -207,7 +224,6 @@
             state.settle_grant(number, carried_out=carried_out)
         state.record_success()
         self._metrics.count("keyspace.granted")
-        return True
 
     async def renew_leases(self, nursery: trio.Nursery) -> None:
         """Call ``start_renewals`` every ``KEY_RENEWAL_S`` seconds."""
--- a/src/acaciasaddle/keyspace/_role.py
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -12,6 +12,7 @@
 import trio
 
 from acaciasaddle.errors import ConditionFailedError
+from acaciasaddle.model import era_of
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
 
     from acaciasaddle.clock import Clock
     from acaciasaddle.model._rows import JsonObject
+    from acaciasaddle.table import Scan
     from acaciasaddle.table import Table
 
 COORDINATOR_TABLE = "coordination"
@@ -31,6 +33,9 @@
 fail within a role lease, if they fail without a timeout."""
 TAKEOVER_S = 1.6
 """A host may take over a role whose row has not changed for this long."""
+HEAD_START_S = 1.0
+"""Time for which hosts leave the role in a restored store to its last holder, which alone knows who
+may hold which keys."""
 STEP_DOWN_S = 5.0
 """Time for which a host does not compete for the role after it stepped down."""
 
@@ -49,7 +54,12 @@
         clock: Clock,
         takeover_delay_s: float,
     ) -> None:
-        """``takeover_delay_s`` is the time for which this host leaves a free role to others."""
+        """``takeover_delay_s`` is the time for which this host leaves a free role to others.
+
+        ``restored_at`` is the time at which this host first saw the current era of the store, or
+        ``None`` if it knows of no earlier one. ``is_last_holder`` is set by the coordinator if this
+        host had the role in the earlier era as far as it knows.
+        """
         self._member = member
         self._address = address
         self._table = table
@@ -62,8 +72,12 @@
         self._written_at = 0.0
         self._stepped_down_at: float | None = None
         self._writing = trio.Lock()
+        self._era: int | None = None
+        self._earlier_revision = 0
+        self.restored_at: float | None = None
         self.version = 0
         self.taken = False
+        self.is_last_holder = False
 
     @property
     def held(self) -> bool:
@@ -85,6 +99,16 @@
         """The host that has the role, as far as known: ``<host id>@<incarnation>``."""
         return str(self._value.get("member", ""))
 
+    @property
+    def is_of_earlier_era(self) -> bool:
+        """Whether the store came back from an older copy since this host took the role."""
+        return self.taken and era_of(self.version) != self._table.era
+
+    @property
+    def earlier_rows(self) -> bool:
+        """Whether the table has rows of earlier eras, so their leases may not have ended yet."""
+        return self._earlier_revision > 0
+
     @property
     def known(self) -> bool:
         """Whether the row has been seen since this host last lost the role."""
@@ -108,6 +132,10 @@
         """
         if version <= self.version or member == self._member or self.held:
             return
+        if era_of(version) < (self._era or 0):
+            return
+        self._note_era(era_of(version))
+        self.is_last_holder = False
         if self.taken:
             log.info("role lost", reason="another host is known to have it", holder=member)
             self.taken = False
@@ -120,12 +148,16 @@
 
         A result of 0 or less means that it may try now.
         """
-        row = await self._table.read(COORDINATOR_KEY)
+        scan = await self._table.scan(f"{COORDINATOR_TABLE}/", since=0)
+        row = next((row for row in scan.rows if row.key == COORDINATOR_KEY), None)
         now = self._clock.now()
+        self._note_scan(scan)
         version = row.version if row is not None else 0
         if version != self.version or self._seen_at is None:
             self.version, self._seen_at = version, now
             self._value = dict(row.value) if row is not None else {}
+        if row is not None and self.holder != self._member:
+            self.is_last_holder = False
         backoff_s = 0.0
         if self._stepped_down_at is not None:
             backoff_s = self._stepped_down_at + STEP_DOWN_S - now
@@ -134,6 +166,10 @@
             free_at = self._seen_at + TAKEOVER_S
         else:
             self._vacant_since = free_at = self._vacant_since or now
+        if row is None and self.restored_at is not None:
+            # The holder in the earlier era may not have lapsed yet.
+            head_start_s = 0.0 if self.is_last_holder else HEAD_START_S
+            free_at = max(free_at, self.restored_at + TAKEOVER_S + head_start_s)
         return max(backoff_s, free_at + self._takeover_delay_s - now)
 
     async def try_take(self) -> str | None:
@@ -164,6 +200,20 @@
                 )
             return await self._renew(conditions, puts)
 
+    async def write_again(self, puts: Mapping[str, JsonObject]) -> dict[str, int]:
+        """Write the role and rows in a restored store that has none of them.
+
+        Raises ``ConditionFailedError`` if another host has done so, or if the role has lapsed.
+        """
+        async with self._writing:
+            if not self.held:
+                raise ConditionFailedError(
+                    "the role has lapsed", keys=(COORDINATOR_KEY,), step="role.write_again"
+                )
+            self._note_era(self._table.era)
+            self.version = 0
+            return await self._renew(dict.fromkeys(puts, 0), puts)
+
     async def _renew(
         self, conditions: Mapping[str, int], puts: Mapping[str, JsonObject]
     ) -> dict[str, int]:
@@ -191,9 +241,12 @@
     async def resolve_unknown_write(self) -> bool:
         """Read the row after a write with an unknown outcome, and note the write if it took effect.
 
-        Return whether this host still has the role.
+        Return whether this host still has the role. In a restored store that has no row yet, it has
+        it if it had it before.
         """
         row = await self._table.read(COORDINATOR_KEY)
+        if row is None and self.is_of_earlier_era:
+            return True
         if row is None or row.value.get("member") != self._member:
             return False
         if row.version != self.version:
@@ -206,6 +259,22 @@
         self.taken = False
         self._seen_at = None
 
+    def _note_scan(self, scan: Scan) -> None:
+        """Note the era of a scan, and rows of earlier eras.
+
+        If these change, a host that does not know eras may still have the role.
+        """
+        self._note_era(self._table.era)
+        if scan.earlier_revision > self._earlier_revision:
+            self.restored_at = self._clock.now()
+        self._earlier_revision = scan.earlier_revision
+
+    def _note_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            log.warning("the store came back from an older copy", era=era, earlier_era=self._era)
+            self.restored_at = self._clock.now()
+        self._era = max(era, self._era or 0)
+
     def _vacant(self) -> bool:
         """Return whether no other host has the role.
 
--- a/src/acaciasaddle/keyspace/_types.py
+++ b/src/acaciasaddle/keyspace/_types.py
@@ -26,6 +26,9 @@
 
 KEY_COUNT = 65_536
 """Number of keys. They are numbered from 0 to 65,535."""
+FENCES_PER_ERA = 1 << 32
+"""Fencing tokens of each era of the store. A store that came back from an older copy does not know
+which were given out last, so each era has its own. All are exact in JSON numbers."""
 OWNERS_TABLE = "ownership"
 """Name of the table that has one row of owners for each keyed service."""
 
--- a/src/acaciasaddle/table/_api.py
+++ b/src/acaciasaddle/table/_api.py
@@ -67,6 +67,13 @@
         ``conditions`` maps keys to expected versions, 0 for a row that must not exist.
         """
 
+    async def drop_earlier_rows(self, prefix: str) -> int:
+        """Remove the rows with this prefix that were written in earlier eras; return their number.
+
+        Raises the errors of a write.
+        """
+        return 0
+
 
 class ObjectStore(ABC):
     """The object store, with the same errors as ``Table``."""
