Stop: count the grace time from the signal, also on a busy process

What callers see: a host that was busy when SIGTERM arrived takes requests that end after the platform's kill, and their connections end with the process, without an answer.

Cause: the stop began when the event loop took the signal from its receiver.

Change: the node waits for signals in steps of 0.1 s, and the stop begins where the wait before the current one began. A signal that had arrived by then would have ended that wait, so the stop never begins later than the signal; on a process that is not busy it begins 0.1 to 0.2 s earlier.

--- a/features/node/stop.feature
+++ b/features/node/stop.feature
@@ -31,3 +31,8 @@
     Given a listener with 6 s of grace and an open connection
     When a stop is announced, another service takes 1.4 s to stop, and then the listener stops
     Then the listener has stopped within 6 s of the announcement
+
+  # Guards against requests that are taken for the time after the kill, and lost with the process.
+  Scenario: the grace time runs from the signal, even if the process is busy when it arrives
+    When the node gets SIGTERM while its process is busy for 1 s
+    Then the stop ends within the grace time of the signal
--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import time
 from typing import Any
 
 import trio
@@ -18,6 +19,8 @@
 from acaciasaddle.node._node import Node
 
 LIMIT_S = 5.0
+IDLE_S = 0.25
+"""Time in which the node looks for signals before its process is busy."""
 
 
 class _SignalledKernel:
@@ -44,6 +47,24 @@
         self._stop.set()
 
 
+class _BusyKernel(_SignalledKernel):
+    """Stands in for the kernel; SIGTERM arrives while the process is busy."""
+
+    def __init__(self, *, busy_s: float) -> None:
+        super().__init__()
+        self._busy_s = busy_s
+        self.signalled_at = 0.0
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        task_status.started()
+        await trio.sleep(IDLE_S)
+        self.signalled_at = trio.current_time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(self._busy_s)
+        await self._stop.wait()
+        self.stopped = True
+
+
 class NodeStopSteps:
     """Guards against signals that arrive before the node handles them."""
 
@@ -59,10 +80,25 @@
             context, _SignalledKernel(while_stopping=(signal.SIGHUP, signal.SIGTERM))
         )
 
+    @staticmethod
+    @when("the node gets SIGTERM while its process is busy for {seconds:g} s")
+    def signalled_while_busy(context: Any, seconds: float) -> None:
+        context.kernel = _BusyKernel(busy_s=seconds)
+        NodeStopSteps._run(context, context.kernel)
+
+    @staticmethod
+    @then("the stop ends within the grace time of the signal")
+    def ends_in_grace_time(context: Any) -> None:
+        stop = context.node.listener.announce_stop()
+        lasts_s = stop.ends_at - context.kernel.signalled_at
+        assert lasts_s < context.grace_s, lasts_s
+
     @staticmethod
     def _run(context: Any, kernel: Any) -> None:
         missed = []
-        node = Node(settings=template_settings())
+        settings = template_settings()
+        context.grace_s = settings.bounds.grace_s
+        context.node = node = Node(settings=settings)
         node.kernel = kernel
 
         async def main() -> None:
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -183,17 +183,18 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def announce_stop(self) -> PlannedStop:
+    def announce_stop(self, *, signalled_after: float | None = None) -> PlannedStop:
         """Report not ready, and announce to callers' connections that they are to close.
 
-        Return the stop, which begins with the first announcement. The stop of other services is
-        part of the grace time.
+        Return the stop, which begins with the first announcement, or at ``signalled_after`` on
+        trio's clock if the signal may have come that early. The stop of other services is part of
+        the grace time.
         """
         if self._planned_stop is None:
             self.draining = True
-            now = trio.current_time()
+            began_at = trio.current_time() if signalled_after is None else signalled_after
             self._planned_stop = PlannedStop(
-                announced_at=now, ends_at=now + self._grace_s - EXIT_MARGIN_S
+                announced_at=began_at, ends_at=began_at + self._grace_s - EXIT_MARGIN_S
             )
             self._callers.announce_close()
         return self._planned_stop
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -46,6 +46,9 @@
 GC_THRESHOLD = 20_000
 """Allocated minus freed objects at which the garbage collector examines the youngest generation.
 Python's default of 700 is reached by a single request."""
+SIGNAL_POLL_S = 0.1
+"""A signal is taken to have arrived up to twice this long before a process that is not busy sees
+it."""
 
 log = get_logger("node")
 
@@ -159,9 +162,20 @@
 
         A signal that nobody takes from the receiver is raised again when it closes, and would then
         end a process that is about to stop in good order.
+
+        The grace time runs from the signal, which a busy process sees late. The stop therefore
+        begins at the last time at which no signal had arrived: the wait before the current one
+        would have returned it. The current one may have begun when a signal was in transit.
         """
         stopping = False
-        async for signum in signals:
+        waiting_since = trio.current_time()
+        while True:
+            none_until, waiting_since = waiting_since, trio.current_time()
+            signum = 0
+            with trio.move_on_after(SIGNAL_POLL_S):
+                signum = await anext(signals)
+            if not signum:
+                continue
             if signum == signal.SIGHUP:
                 log.info("SIGHUP received; settings are only read at start")
             elif stopping:
@@ -169,7 +183,8 @@
             else:
                 stopping = True
                 log.info("stopping on signal", signal=signum)
-                self.forwarder.note_stop(self.listener.announce_stop())
+                stop = self.listener.announce_stop(signalled_after=none_until)
+                self.forwarder.note_stop(stop)
                 self.kernel.shutdown()
 
     async def _run_services(self) -> None:
