Callers: hold request heads to the limit in force, not to an earlier one

What callers see: after a configuration has raised the limit of request heads, a proper request whose head arrives in pieces is refused with 431, which no caller retries, and its kept connection is closed. Under a lowered limit a head that is too large gets 408 instead of 431.

Cause: the limit of an incomplete head was given to the parser, which is created when the request before it has been read; on a kept connection that is long before the head arrives.

Change: the connection itself compares the unread bytes with the limit in force each time that the parser needs more. The same check bounds chunk headers and trailers, as before.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -62,6 +62,19 @@
     When a caller sends the raw request "GET /{5000} HTTP/1.1~Host: a~~"
     Then the responses are "431"
 
+  # Guards against the limit that was in force when the connection became idle.
+  Scenario Outline: a request head is held to the limit in force while it arrives
+    Given a listener whose handler takes "0" s
+    And the limit of a request head changes from <before> to <after> bytes, 0.1 s after a caller has connected
+    When a caller sends a request head of 5000 bytes in two parts after 0.2 s
+    Then the handler saw <count> requests
+    And the first response has status <status>
+
+    Examples:
+      | before | after | status | count |
+      | 4096   | 8192  | 200    | 1     |
+      | 8192   | 4096  | 431    | 0     |
+
   Scenario: an idle connection is closed
     Given a listener whose handler takes "0" s
     When a caller sends nothing for 0.5 s
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -42,6 +42,8 @@
 }
 MIN_STEPS_OF_CLOSE = 3
 """Steps that the tasks of a connection take at least between the decision and the close."""
+PART_PAUSE_S = 0.05
+"""Pause between two parts of a request, so that the first has been read."""
 REST_S = 0.3
 """Longer than a host leaves a caller for its next request."""
 
@@ -156,13 +158,32 @@
     def changing_limit(context: Any, before: float, after: float, at: float) -> None:
         context.idle_limits = (before, after, at)
 
+    @staticmethod
+    @given(
+        "the limit of a request head changes from {before:d} to {after:d} bytes, {at:g} s after a "
+        "caller has connected"
+    )
+    def changing_head_limit(context: Any, before: int, after: int, at: float) -> None:
+        context.head_limits = (before, after, at)
+
     @staticmethod
     def _limits(context: Any) -> CallerLimits:
-        if not hasattr(context, "idle_limits"):
-            return LIMITS
-        before, after, at = context.idle_limits
-        has_changed = time.monotonic() - getattr(context, "started", time.monotonic()) >= at
-        return replace(LIMITS, idle_timeout_s=after if has_changed else before)
+        elapsed_s = time.monotonic() - getattr(context, "started", time.monotonic())
+        limits = LIMITS
+        if hasattr(context, "idle_limits"):
+            before, after, at = context.idle_limits
+            limits = replace(limits, idle_timeout_s=after if elapsed_s >= at else before)
+        if hasattr(context, "head_limits"):
+            before, after, at = context.head_limits
+            limits = replace(limits, max_header_bytes=after if elapsed_s >= at else before)
+        return limits
+
+    @staticmethod
+    @when("a caller sends a request head of {size:d} bytes in two parts after {seconds:g} s")
+    def head_in_parts(context: Any, size: int, seconds: float) -> None:
+        before, after = b"GET /1 HTTP/1.1\r\nHost: a\r\nX-Note: ", b"\r\nConnection: close\r\n\r\n"
+        head = before + b"x" * (size - len(before) - len(after)) + after
+        CallerSteps._exchange(context, head[:-10], pause_s=seconds, rest=head[-10:])
 
     @staticmethod
     @when("a caller sends its first request after {seconds:g} s")
@@ -191,6 +212,7 @@
         context: Any,
         data: bytes,
         *,
+        rest: bytes = b"",
         pause_s: float = 0.0,
         disconnect_s: float | None = None,
         stop_s: float | None = None,
@@ -213,6 +235,9 @@
                 await trio.sleep(pause_s)
                 if data:
                     await stream.send_all(data)
+                if rest:
+                    await trio.sleep(PART_PAUSE_S)
+                    await stream.send_all(rest)
                 if stop_s is not None:
                     await trio.sleep(stop_s)
                     server.announce_close()
@@ -551,6 +576,12 @@
     def responses(context: Any, expected: str) -> None:
         assert ", ".join(context.responses) == expected, context.responses
 
+    @staticmethod
+    @then("the first response has status {status:d}")
+    def first_status(context: Any, status: int) -> None:
+        assert context.responses, "no response"
+        assert context.responses[0].startswith(str(status)), context.responses
+
     @staticmethod
     @then("all responses came in less than {seconds:g} s")
     def response_time(context: Any, seconds: float) -> None:
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -8,6 +8,7 @@
 
 import math
 import socket
+import sys
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -175,8 +176,10 @@
             unread_request=self._unread_request,
         )
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits().max_header_bytes)
+    @staticmethod
+    def _new_parser() -> h11.Connection:
+        # The limit in force may change while the parser is in use, see ``_next_event``.
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     # Receiving.
 
@@ -233,6 +236,10 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
+            if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
+                raise h11.RemoteProtocolError(
+                    "the request head is too large", error_status_hint=431
+                )
             await received.wait()
 
     # Serving.
@@ -327,7 +334,7 @@
             return None
         received_at = trio.current_time()
         if _head_size(head) > self._limits().max_header_bytes:
-            # The parser only limits heads that do not arrive in one piece.
+            # ``_next_event`` only checks heads that are not complete.
             raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         if "content-length" in fields and "transfer-encoding" in fields:
