Forwarding: no wait for an owner beyond the end of a planned stop

What callers see: near the end of a stop, a request whose deadline lies behind it waits up to 0.4 s for its key to move, for an owner that asked to wait or after a 421. If the stop ends meanwhile, the connection closes without an answer although no upstream works on the request.

Cause: the stop was only considered when a request was about to be sent, not before a wait.

Change: before such a wait a request is refused if the stop does not allow a send at its end.

Evidence: with the end of the stop 0.25 s away, callers waited 0.30 s (moving key) and 0.34 s (owner that asked to wait 0.3 s); both new scenarios failed with these figures and pass now. With budgets of 2 s and a grace time of 6 s the order needs a rejection after more than 2 s at the upstream, so this is not shown to be what the users saw. All 108 scenarios of features/forward pass.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -219,6 +219,22 @@
     And the log and the counters show "this host stops" once
     And upstreams got 0 requests
 
+  # Guards against requests that are cut off without an answer while no upstream works on them.
+  Scenario Outline: a stopping host does not let a request wait beyond the end of its stop
+    Given upstream "u1" of the keyed service answers "<answers>"
+    And <owner>
+    And the host breaks off requests in 0.25 s
+    When a lookup with key 77 is forwarded
+    Then the caller gets 503 ""
+    And the caller is told when to retry
+    And the caller waited between 0 and 0.25 s
+    And the log and the counters show "this host stops" once
+
+    Examples:
+      | answers            | owner                           |
+      | ok                 | all keys move to "u1" for 0.3 s |
+      | full for 0.3 s, ok | "u1" owns all keys              |
+
   Scenario: a stopping host serves a request that is given up before the stop ends
     Given upstream "u1" of the open service answers "ok"
     And the host breaks off requests in 0.6 s
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -139,6 +139,7 @@
     "Content-Length: 4\r\nContent-Length: 5\r\n\r\ndone",
     "full for 5 s": not_run(503, extra="Retry-After: 5\r\n"),
     "full for 0.1 s": not_run(503, extra="Retry-After: 0.1\r\n"),
+    "full for 0.3 s": not_run(503, extra="Retry-After: 0.3\r\n"),
     "bare 503 for 5 s": "+HTTP/1.1 503 No\r\nRequest-Id: {id}\r\nRetry-After: 5\r\n"
     "Content-Length: 0\r\n\r\n",
     "leaving": ok(extra="Server-Leaving: 1\r\n"),
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -322,6 +322,7 @@
                 raise _refused("the key has no owner now", NO_UPSTREAM_RETRY_S, "choose")
             if not self._view.upstreams_of(service):
                 raise _refused("no upstream takes new work", NO_UPSTREAM_RETRY_S, "choose")
+            self._refuse_if_stopping(pending, sent_at=wait_until)
             with trio.move_on_at(wait_until) as scope:
                 await changed.wait()
             if scope.cancelled_caught:
@@ -337,6 +338,7 @@
         self._metrics.count(f"forward.blocked.{block.reason.replace(' ', '_')}")
         ends_in_time = block.until + MIN_ATTEMPT_S < pending.ends_at
         if block.reason is BlockReason.ASKED_TO_WAIT and wait_s <= OWNER_WAIT_S and ends_in_time:
+            self._refuse_if_stopping(pending, sent_at=block.until)
             await trio.sleep_until(block.until)
             return
         longest_s = wait_s if block.reason is BlockReason.ASKED_TO_WAIT else MAX_RETRY_AFTER_S
@@ -351,13 +353,7 @@
         slot_s = self._slot_times.of(upstream.upstream_id)
         route = pending.route
         expected_s = expected_response_s(slot_s=slot_s, busy=busy, slots=upstream.slots)
-        if self._stop is not None and not self._stop.allows(
-            now=now,
-            request_ends_at=pending.ends_at + RESPONSE_GRACE_S,
-            expected_s=expected_s,
-            repeatable=pending.repeatable,
-        ):
-            raise _refused("this host stops", STOPPING_RETRY_S, "choose")
+        self._refuse_if_stopping(pending, sent_at=now, expected_s=expected_s)
         yields = route.bulky and self._recent_arrivals.has_more_urgent(
             pending.service.name, route.rank
         )
@@ -379,6 +375,18 @@
             )
             raise _refused("the upstream is too busy", seconds, "choose")
 
+    def _refuse_if_stopping(
+        self, pending: _PendingRequest, *, sent_at: float, expected_s: float = 0.0
+    ) -> None:
+        """Raise ``RefusedError`` if this host's stop may break off a request sent at that time."""
+        if self._stop is not None and not self._stop.allows(
+            now=sent_at,
+            request_ends_at=pending.ends_at + RESPONSE_GRACE_S,
+            expected_s=expected_s,
+            repeatable=pending.repeatable,
+        ):
+            raise _refused("this host stops", STOPPING_RETRY_S, "choose")
+
     def _busy_at(self, upstream_id: str) -> int:
         """Return the number of requests of all hosts at an upstream, as far as known.
 
@@ -579,7 +587,9 @@
         if status == 421:
             # The key has probably moved; wait for the change of owners to arrive.
             changed = self._view.changed
-            with trio.move_on_after(OWNER_WAIT_S / 2):
+            wait_until = trio.current_time() + OWNER_WAIT_S / 2
+            self._refuse_if_stopping(pending, sent_at=wait_until)
+            with trio.move_on_at(wait_until):
                 await changed.wait()
             return True
         if self._busy_at(owner.upstream_id) >= owner.slots:
