Callers: send no interim response to a caller of HTTP/1.0

What callers see: an upload of HTTP/1.0 with Expect: 100-continue gets a 100, which a caller of HTTP/1.0 takes for the final response; the connection then ends with bytes that it did not ask for.

Cause: the header was read without the version of the request (RFC 9110, 10.1.1).

Change: h11 says whether the caller waits for a 100.

Evidence: the new scenario got '100, 200 /1 abc' and now gets '200 /1 abc'. Tried beside it: refusing CONNECT, whose 2xx response ends the connection with an error. No upstream's 2xx reaches a caller of CONNECT, and features/fuzz/responses.feature expects other responses to be passed on, so it stays.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -46,6 +46,12 @@
     When a caller sends the raw request "GET /1 HTTP/1.1~Host: a~~POST /2 HTTP/1.1~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
     Then the responses are "200 /1, 100, 200 /2 abc"
 
+  # Guards against an interim response, which HTTP/1.0 does not have, taken for the final one.
+  Scenario: an upload of HTTP/1.0 is not asked for its body
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "POST /1 HTTP/1.0~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
+    Then the responses are "200 /1 abc"
+
   Scenario: a body that is sent without being asked for is not buffered without limit
     Given a listener whose handler takes "0.5" s
     When a caller sends a request and then, without waiting, a body without end that waits to be asked for
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -341,7 +341,7 @@
             raise h11.RemoteProtocolError(
                 "the request has both Content-Length and Transfer-Encoding"
             )
-        if fields.get("expect", "").lower() == "100-continue":
+        if self._parser.they_are_waiting_for_100_continue:
             while self._pending:
                 # Responses are sent in the order of the requests, and this one is no exception.
                 self._holds_body_back = True
