Soak: check requests lost at any time, own answers at a stop, and requests without a key

Of the rule about lost requests, no kept test reached three cases: a request on a kept connection that is passed on and cut at any time, an answer of the host's own while an upstream works on the request during a stop, and a disturbed store beside requests without a key (the soak had none).

Change: two checks of the records; a service without keys with upstreams of its own, to which half of the requests go (--open-upstreams); a run of planned stops beside a store that is disturbed in turn. Without the new option the draws of a seed are the same as before.

Evidence: the seven new rows of soak/checks.feature fail without the checks. Two defects of a node, one that closes before every tenth response and one that answers for upstreams when it stops, give the findings.

--- a/features/soak/checks.feature
+++ b/features/soak/checks.feature
@@ -21,6 +21,13 @@
       | lost-at-stop          | a request without a run, closed after 0.5 s  | a request whose connection was refused after 0.5 s |
       | lost-at-stop          | a request without a run, closed after 0.5 s  | a request closed after 0.5 s, seen 0.4 s late |
       | lost-at-stop          | a request that was turned away and cut at once | a request without a run, closed at once |
+      | lost-at-stop          | a request answered with 502 while it ran, 2 s after a stop | a request answered with 502 after it ran, 2 s after a stop |
+      | lost-at-stop          | a request answered with 502 while it ran, 2 s after a stop | a request answered with 504 while it ran, once its time was over |
+      | lost-at-stop          | a request answered with 502 while it ran, 2 s after a stop | a request answered with 502 while it ran, after its upstream was killed |
+      | lost                  | four requests on kept connections that were passed on and cut | three requests on kept connections that were passed on and cut |
+      | lost                  | four requests on kept connections that were passed on and cut | four requests on new connections that were passed on and cut |
+      | lost                  | four requests on kept connections that were passed on and cut | four requests that their callers gave up |
+      | lost                  | four requests without a key that were cut while the store was down | four requests with a key that were cut while the store was down |
       | lost-at-reload        | a request sent 1.9 s after SIGHUP and closed after 0.5 s | a request sent 2.1 s after SIGHUP and closed after 0.5 s |
       | lost-at-reload        | a request at work that is cut after SIGHUP   | a request closed at once after SIGHUP   |
       | lost-at-reload        | a request at work that is cut after SIGHUP   | a request at work that is cut after SIGHUP once its time was over |
--- a/features/soak/runs.feature
+++ b/features/soak/runs.feature
@@ -19,6 +19,8 @@
       | ignores upstreams that leave       | an upstream that leaves quietly | used-after-leaving |
       | ignores upstreams that ask to wait | upstreams that ask to wait | sent-in-pause      |
       | ends when the store fails          | a store that fails        | exited             |
+      | closes connections before a response | no faults               | lost               |
+      | answers for upstreams when it stops | a stop under slow work   | lost-at-stop       |
     Then the soak reports the rule that each defect breaks
 
   Scenario: upstreams that leave and ask to wait get no request that they do not want
@@ -33,6 +35,11 @@
     When the soak runs with seed 2 and 6 planned stops within 6 s beside configurations with 30000 routes
     Then the soak has no finding, and at least 100 requests were completed
 
+  # Guards against requests without a key that are lost because the store is disturbed.
+  Scenario: stops beside a disturbed store leave no request without an answer, with a key or without
+    When the soak runs with 4 planned stops beside a store that is disturbed in turn
+    Then the soak has no finding, and at least 100 requests were completed
+
   Scenario: a soak that is stopped leaves no upstream and no host running
     When the command soak gets SIGTERM while its processes run
     Then it reports the signal and exits with 1, and its upstream and its host no longer run
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -124,7 +124,48 @@
     return records + attempts
 
 
+def _cut_at_any_time(
+    count: int, *, kept: bool = True, key: int | None = 1, lasted_s: float = 0.5
+) -> Records:
+    """Return the records of requests that reached an upstream and whose connections then ended."""
+    records: Records = []
+    for number in range(count):
+        sent, request_id = 10.0 + number, f"r{number}"
+        attempt = {**_attempt("unknown"), "id": request_id, "started": sent, "sent": sent}
+        attempt |= {"at": sent + lasted_s, "status": 0, "kept": kept, "key": key}
+        records += [{**_run(sent + 0.1), "id": request_id}, attempt]
+    return records
+
+
+STORE_DOWN = {"kind": "fault", "at": 9.0, "target": "store", "name": "slow", "length_s": 4.0}
+
 RECORDS: dict[str, Records] = {
+    "a request answered with 502 while it ran, 2 s after a stop": _stopped(
+        sent=2.5, closed=3.0, status=502
+    ),
+    "a request answered with 502 after it ran, 2 s after a stop": [
+        *_stopped(sent=2.5, closed=3.0, status=502),
+        {"kind": "ended", "at": 2.9, "id": "r", "life": "u1@1"},
+    ],
+    "a request answered with 504 while it ran, once its time was over": _stopped(
+        sent=2.5, closed=4.55, status=504
+    ),
+    "a request answered with 502 while it ran, after its upstream was killed": [
+        {"kind": "signalled", "at": 2.8, "name": "u1", "signum": 9},
+        *_stopped(sent=2.5, closed=3.0, status=502),
+    ],
+    "four requests on kept connections that were passed on and cut": _cut_at_any_time(4),
+    "three requests on kept connections that were passed on and cut": _cut_at_any_time(3),
+    "four requests on new connections that were passed on and cut": _cut_at_any_time(4, kept=False),
+    "four requests that their callers gave up": _cut_at_any_time(4, lasted_s=6.0),
+    "four requests without a key that were cut while the store was down": [
+        STORE_DOWN,
+        *_cut_at_any_time(4, key=None),
+    ],
+    "four requests with a key that were cut while the store was down": [
+        STORE_DOWN,
+        *_cut_at_any_time(4),
+    ],
     "a request sent 2.1 s after a leaving answer": _after_leaving(sent=3.1),
     "a request sent 1.9 s after a leaving answer": _after_leaving(sent=2.9),
     "a request sent 2.1 s after it to a later start": _after_leaving(sent=3.1, life="u1@2"),
@@ -230,7 +271,10 @@
     @staticmethod
     @then('records of {name} give the finding "{rule}"')
     def gives_finding(context: Any, name: str, rule: str) -> None:
-        assert [finding.rule for finding in check_records(RECORDS[name])] == [rule]
+        rules = [finding.rule for finding in check_records(RECORDS[name])]
+        assert set(rules) == {rule}, rules
+        # Of the requests that are lost at any time, each gives a finding.
+        assert len(rules) == (4 if rule == "lost" else 1), rules
 
     @staticmethod
     @then("records of {name} give no finding")
--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -45,9 +45,13 @@
     "no faults": (HARMLESS_FAULT,),
     "an upstream that leaves quietly": (_fault("u2", "stop"),),
     "upstreams that ask to wait": (HARMLESS_FAULT,),
+    "a stop under slow work": (_fault("host-1", "stop"),),
 }
+STORE_DISTURBANCES = ("unavailable", "forgets", "slow", "loses answers", "throttled", "late writes")
+DISTURBANCE_S = 1.5
 QUIET_LEAVE_S = 4.5
 PAUSE_SHARE = 0.05
+SLOW_SHARE = 0.3
 MIN_PAUSES = 12
 """Pauses that have ended before a soak may end. Otherwise most of a short soak under a busy machine
 are excused: the stop of the hosts comes before their end, or the way to u1 is delayed."""
@@ -83,6 +87,7 @@
                 fixed_faults=FAULTS[faults],
                 fail_share=FAIL_SHARE if fails_often else 0.0,
                 quiet_leave_s=QUIET_LEAVE_S if faults.endswith("leaves quietly") else 0.0,
+                slow_share=SLOW_SHARE if faults.endswith("slow work") else 0.0,
                 pause_share=PAUSE_SHARE if faults.endswith("ask to wait") else 0.0,
                 min_pauses=MIN_PAUSES if faults.endswith("ask to wait") else 0,
                 recovery_limit_s=RECOVERY_LIMIT_S,
@@ -152,6 +157,41 @@
         )
         context.soak = trio.run(SoakRunSteps._run, options)
 
+    @staticmethod
+    @when("the soak runs with {count:d} planned stops beside a store that is disturbed in turn")
+    def disturbed_store(context: Any, count: int) -> None:
+        disturbances = [
+            Fault(
+                at_s=DISTURBANCE_S * 1.2 * index, length_s=DISTURBANCE_S, target="store", name=name
+            )
+            for index, name in enumerate(STORE_DISTURBANCES)
+        ]
+        window_s = disturbances[-1].at_s
+        stops = [
+            Fault(
+                at_s=window_s * index / count,
+                length_s=0.5,
+                target=f"host-{index % 3 + 1}",
+                name="stop",
+            )
+            for index in range(count)
+        ]
+        refused = Fault(at_s=1.0, length_s=3.0, target="store of host-3", name="refuse")
+        options = SoakOptions(
+            seed=1,
+            hosts=3,
+            upstreams=2,
+            open_upstreams=2,
+            fixed_faults=tuple(
+                sorted((*disturbances, *stops, refused), key=lambda fault: fault.at_s)
+            ),
+            callers=12,
+            slots=12,
+            slow_share=SLOW_SHARE,
+            deadline_s=4.0,
+        )
+        context.soak = trio.run(SoakRunSteps._run, options)
+
     @staticmethod
     @then("the soak has no finding, and at least {count:d} requests were completed")
     def no_finding(context: Any, count: int) -> None:
--- a/features/support/defective_node.py
+++ b/features/support/defective_node.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 import os
 import signal
 import sys
 from dataclasses import replace
 from typing import Any
 
+import trio
+
+from acaciasaddle.callers import CallerConnection
 from acaciasaddle.errors import ConditionFailedError
 from acaciasaddle.errors import PlatformError
 from acaciasaddle.fleet import FleetView
@@ -25,6 +30,8 @@
 from acaciasaddle.platform import PlatformDialect
 from acaciasaddle.platform import PlatformOrders
 
+GIVE_UP_S = 0.3
+
 
 def _resend_at_most_once() -> None:
     _forwarder._PendingRequest.repeatable = property(lambda self: True)
@@ -110,6 +117,29 @@
     CoordinatorRole._renew = renew_or_exit
 
 
+def _close_before_response() -> None:
+    send = CallerConnection._send
+    responses = itertools.count(1)
+
+    async def send_or_close(self: Any, *args: Any, **kwargs: Any) -> None:
+        if next(responses) % 10 == 0:
+            raise trio.BrokenResourceError
+        await send(self, *args, **kwargs)
+
+    CallerConnection._send = send_or_close
+
+
+def _answer_for_upstreams() -> None:
+    send = _forwarder.Forwarder._send
+
+    async def send_or_give_up(self: Any, pending: Any, upstream: Any) -> Any:
+        with trio.move_on_after(math.inf if self._stop is None else GIVE_UP_S):
+            return await send(self, pending, upstream)
+        raise _forwarder._failed("the host stops", "send", pending, status=502)
+
+    _forwarder.Forwarder._send = send_or_give_up
+
+
 DEFECTS = {
     "resends at-most-once requests": _resend_at_most_once,
     "reports failed requests as not run": _report_failed_as_not_run,
@@ -121,6 +151,8 @@
     "ignores upstreams that leave": _ignore_leaving,
     "ignores upstreams that ask to wait": _ignore_pauses,
     "ends when the store fails": _exit_without_store,
+    "closes connections before a response": _close_before_response,
+    "answers for upstreams when it stops": _answer_for_upstreams,
 }
 
 if __name__ == "__main__":
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -51,6 +51,12 @@
     help="Callers besides the others that let their connections rest for up to four fifths of the "
     "idle limit.",
 )
+@click.option(
+    "--open-upstreams",
+    type=click.IntRange(0, 100),
+    default=0,
+    help="Upstreams of a service without keys, which half of the requests go to.",
+)
 @click.option(
     "--slow-share",
     type=click.FloatRange(0, 1),
@@ -93,6 +99,7 @@
     stops: bool,
     routes: int,
     resting_callers: int,
+    open_upstreams: int,
     slow_share: float,
     pause_share: float,
     quiet_leave: float,
@@ -121,6 +128,7 @@
             only_stops=stops,
             routes=routes,
             resting_callers=resting_callers,
+            open_upstreams=open_upstreams,
             slow_share=slow_share,
             slots=slots,
             pause_share=pause_share,
--- a/src/acaciasaddle/emulator/soak/_callers.py
+++ b/src/acaciasaddle/emulator/soak/_callers.py
@@ -12,6 +12,7 @@
 
 from acaciasaddle.platform.standins import DEPOSIT_PREFIX
 from acaciasaddle.platform.standins import NOT_RUN_STATUSES
+from acaciasaddle.platform.standins import OPEN_PREFIX
 from acaciasaddle.platform.standins import READ_PREFIX
 from acaciasaddle.platform.standins import caller_headers
 from acaciasaddle.platform.standins import is_own_response
@@ -105,12 +106,14 @@
     records: RecordFile,
     deadline_s: float = DEADLINE_S,
     idle_limit_s: Callable[[], float] | None = None,
+    open_share: float = 0.0,
 ) -> None:
     """Send requests as one caller until cancelled.
 
     ``running_hosts`` returns the caller addresses of the running hosts by id. With
     ``idle_limit_s``, the idle limit in force, the caller uses one connection to one host and lets
-    it rest between the requests. Otherwise it sends to all hosts with short pauses.
+    it rest between the requests. Otherwise it sends to all hosts with short pauses. ``open_share``
+    is the share of the requests without a key.
     """
     rng = random.Random(f"{seed}/{number}")
     sent = 0
@@ -131,7 +134,9 @@
         sent += 1
         request_id = f"{number}-{sent}"
         once = rng.random() < DEPOSIT_SHARE
-        key = rng.randrange(HOT_KEY_COUNT if rng.random() < HOT_SHARE else KEY_COUNT)
+        key: int | None = rng.randrange(HOT_KEY_COUNT if rng.random() < HOT_SHARE else KEY_COUNT)
+        if open_share and rng.random() < open_share:
+            key = None
         started = time.monotonic()
         resp = await send_request(
             conn, request_id=request_id, key=key, once=once, deadline_s=deadline_s
@@ -153,10 +158,20 @@
 
 
 async def send_request(
-    conn: Connection, *, request_id: str, key: int, once: bool, deadline_s: float = DEADLINE_S
+    conn: Connection,
+    *,
+    request_id: str,
+    key: int | None,
+    once: bool,
+    deadline_s: float = DEADLINE_S,
 ) -> httpcore.Response | None:
-    """Send a deposit if ``once`` is set, otherwise a read; return the response as ``send`` does."""
+    """Send a deposit if ``once`` is set, otherwise a read; return the response as ``send`` does.
+
+    Without a key it goes to the service without keys.
+    """
     target = f"{DEPOSIT_PREFIX if once else READ_PREFIX}{request_id}"
+    if key is None:
+        target = OPEN_PREFIX + target
     headers = caller_headers(request_id=request_id, key=key, deadline_s=deadline_s)
     return await conn.send("POST" if once else "GET", target, headers, _body(request_id, once))
 
--- a/src/acaciasaddle/emulator/soak/_lost.py
+++ b/src/acaciasaddle/emulator/soak/_lost.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from acaciasaddle.emulator.soak._callers import EXTRA_WAIT_S
 from acaciasaddle.emulator.soak._faults import RELOAD
 from acaciasaddle.emulator.soak._records import Record
 
@@ -34,6 +35,10 @@
 """A request that has used this share of its time may be cut beside a change."""
 MAX_RATIO_BESIDE_CHANGE = 3.0
 """Beside changes, a host may cut this many times as many of its requests as at other times."""
+MAX_CUT_AT_ANY_TIME = 3
+"""Requests on kept connections that hosts may pass on and then cut, at any time."""
+OWN_FAILURES = (502, 504)
+"""Statuses that only a host answers with; upstreams use none of them."""
 PLANNED = ("stop", RELOAD, "change")
 
 
@@ -49,6 +54,7 @@
     runs: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     reached: dict[str, set[str]] = field(default_factory=lambda: defaultdict(set))
     ended: dict[str, float] = field(default_factory=dict)
+    lives_ended: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     delays: list[tuple[float, float]] = field(default_factory=list)
 
     @classmethod
@@ -59,6 +65,8 @@
             if kind == "signalled":
                 signals = found.stops if record["signum"] == signal.SIGTERM else found.others
                 signals[record["name"]].append(at)
+            elif kind == "dead":
+                found.lives_ended[record["upstream"]].append(at)
             elif kind == "reloaded":
                 found.reloads[record["name"]].append(at)
             elif kind == "configured":
@@ -83,6 +91,14 @@
         late_s = sum(end - start for start, end in self.delays if sent <= end and start <= closed)
         return attempt["id"] in self.reached or closed - sent - late_s > LOST_S
 
+    def is_replaced(self, attempt: Record) -> bool:
+        """Return whether a host answered for an upstream at work on a request with time left."""
+        if attempt["status"] not in OWN_FAILURES or attempt["sent"] is None:
+            return False
+        sent, answered, request_id = attempt["sent"], attempt["at"], attempt["id"]
+        is_at_work = self.runs.get(request_id) and self.ended.get(request_id, answered) >= answered
+        return bool(is_at_work) and answered - sent < attempt["deadline_s"]
+
     def is_stopping(self, attempt: Record) -> bool:
         """Return whether the host of a request had got SIGTERM when it closed the connection."""
         stops = self.stops[attempt["host"]]
@@ -97,7 +113,10 @@
         if any(sent - TOUCH_S <= at <= closed for at in self.others[host]):
             return True
         upstreams = self.reached.get(attempt["id"], set())
-        targets = {host, "store", f"store of {host}", *upstreams}
+        targets = {host, *upstreams}
+        if attempt.get("key", 0) is not None:
+            # A disturbance of the store alone excuses nothing for requests without a key.
+            targets |= {"store", f"store of {host}"}
         targets |= {f"way to {name}" for name in upstreams}
         return any(
             fault["target"] in targets
@@ -106,6 +125,15 @@
             for fault in self.faults
         )
 
+    def is_upstream_gone(self, attempt: Record) -> bool:
+        """Return whether an upstream that a request reached may have broken it off."""
+        times = [
+            at
+            for name in self.reached.get(attempt["id"], ())
+            for at in (*self.stops[name], *self.others[name], *self.lives_ended[name])
+        ]
+        return any(at <= attempt["at"] for at in times if at >= attempt["sent"] - STOP_LIMIT_S)
+
     def describe(self, attempt: Record, since: float, event: str) -> str:
         return (
             f"{attempt['id']}: sent {attempt['sent'] - since:.2f} s after {event} "
@@ -117,13 +145,17 @@
 def check_lost(records: Sequence[Record]) -> Iterator[tuple[str, str]]:
     """Yield the rule and the detail of each request that a host lost around planned work.
 
-    Planned work is a stop or a reload of the host, or a change of the configuration.
+    Planned work is a stop or a reload of the host, or a change of the configuration. Also yield the
+    requests that hosts passed on and cut at any time, if there are more than a few.
     """
     evidence = _Evidence.collect(records)
     attempts = [record for record in records if record["kind"] == "attempt"]
     cuts = [attempt for attempt in attempts if evidence.is_cut(attempt)]
     for attempt in cuts:
         yield from _check_stops(evidence, attempt)
+    for attempt in attempts:
+        if evidence.is_replaced(attempt) and not evidence.is_upstream_gone(attempt):
+            yield from _check_stops(evidence, attempt)
     others = [
         attempt
         for attempt in cuts
@@ -132,6 +164,7 @@
     for attempt in others:
         yield from _check_reloads(evidence, attempt)
     yield from _check_changes(evidence, attempts, others)
+    yield from _check_any_time(evidence, others)
 
 
 def _check_stops(evidence: _Evidence, attempt: Record) -> Iterator[tuple[str, str]]:
@@ -182,3 +215,18 @@
             if used < USED_BESIDE_CHANGE:
                 since = max(start for start, _ in evidence.changes if start <= attempt["at"])
                 yield "lost-at-change", evidence.describe(attempt, since, "a change known to")
+
+
+def _check_any_time(evidence: _Evidence, cuts: Iterable[Record]) -> Iterator[tuple[str, str]]:
+    """Find requests on kept connections that were passed on and cut, if there are too many."""
+    lost = [
+        attempt
+        for attempt in cuts
+        if attempt.get("kept") and attempt["id"] in evidence.reached
+        # Later than this the caller itself closes the connection.
+        and attempt["at"] - attempt["sent"] < attempt["deadline_s"] + EXTRA_WAIT_S
+        and not evidence.is_upstream_gone(attempt)
+    ]
+    if len(lost) > MAX_CUT_AT_ANY_TIME:
+        for attempt in lost:
+            yield "lost", evidence.describe(attempt, attempt["started"], "its start at")
--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -24,6 +24,7 @@
 from acaciasaddle.emulator.soak._records import RecordFile
 from acaciasaddle.emulator.soak._relay import Relay
 from acaciasaddle.platform.standins import IDLE_TIMEOUT_S
+from acaciasaddle.platform.standins import OPEN_SERVICE
 from acaciasaddle.platform.standins import ROUTE_TIMEOUT_S
 from acaciasaddle.platform.standins import SERVICE
 from acaciasaddle.platform.standins import UpstreamSettings
@@ -73,6 +74,7 @@
     quiet_leave_s: float = 0.0
     route_timeout_s: float = ROUTE_TIMEOUT_S
     unused_routes: int = 0
+    open_service: bool = False
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     host_addresses: dict[str, str] = field(default_factory=dict)
     readiness_addresses: dict[str, str] = field(default_factory=dict)
@@ -82,23 +84,32 @@
     extra_routes: int = 0
     idle_timeout_s: float = IDLE_TIMEOUT_S
 
-    async def start(self, *, hosts: list[str], upstreams: list[str]) -> None:
-        """Start all processes and wait until every host is ready."""
+    async def start(
+        self, *, hosts: list[str], upstreams: list[str], open_upstreams: list[str]
+    ) -> None:
+        """Start all processes and wait until every host is ready.
+
+        The ``open_upstreams`` are those of the service without keys.
+        """
+        self.open_service = bool(open_upstreams)
         command = [sys.executable, "-m", "acaciasaddle.emulator", "users-store"]
         self.processes["store"] = ManagedProcess(name="store", command=command)
         self.store_address = await self._start_listening(self.processes["store"])
         await self.change_configuration()
         async with trio.open_nursery() as nursery:
             for index, name in enumerate(upstreams):
-                nursery.start_soon(self._add_upstream, name, index)
+                nursery.start_soon(self._add_upstream, name, index, SERVICE)
+            for index, name in enumerate(open_upstreams):
+                nursery.start_soon(self._add_upstream, name, index, OPEN_SERVICE)
             for index, name in enumerate(hosts):
                 nursery.start_soon(self._add_host, name, index)
 
-    async def _add_upstream(self, name: str, index: int) -> None:
+    async def _add_upstream(self, name: str, index: int, service: str) -> None:
         relay = self.relays[f"way to {name}"] = Relay()
         settings = UpstreamSettings(
             upstream_id=name,
-            service=SERVICE,
+            service=service,
+            keyed=service == SERVICE,
             data_centre=DATA_CENTRES[index % len(DATA_CENTRES)],
             address=await self.nursery.start(relay.run),
             store_address=self.store_address,
@@ -254,6 +265,7 @@
             "timeout_s": self.route_timeout_s,
             "unused_routes": self.unused_routes,
             "idle_timeout_s": self.idle_timeout_s,
+            "open_service": self.open_service,
         }
         await self.control_store("configuration", options)
         self.records.add("configured", started=started, version=self.configuration_version)
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -61,6 +61,7 @@
 """Time in which ``min_pauses`` must have ended after the recovery check."""
 PAUSES_POLL_S = 0.5
 PROBED_KEY_COUNT = 32
+OPEN_SHARE = 0.5
 PROBE_PAUSE_S = 0.1
 """Pause after a probe that was not served. The probes of one host follow one another."""
 
@@ -82,7 +83,8 @@
     ``only_stops`` is true, all faults are planned stops of hosts. With ``routes``, the operator
     changes the configuration, which has as many unused routes, and its idle limit all the time
     until the faults have ended, and planned stops come with SIGHUPs. ``resting_callers`` are
-    callers besides the others that let their connections rest.
+    callers besides the others that let their connections rest. ``open_upstreams`` is the number of
+    upstreams of a service without keys; if there are any, half of the requests go to that service.
     ``node_args`` are the interpreter's arguments that run a node, before the path of its settings.
     ``recovery_limit_s`` is the time in which each host must serve the probed keys after the start
     and after the faults, besides the time that slow runs take.
@@ -106,6 +108,7 @@
     only_stops: bool = False
     routes: int = 0
     resting_callers: int = 0
+    open_upstreams: int = 0
     recovery_limit_s: float = RECOVERY_LIMIT_S
 
     @property
@@ -135,6 +138,7 @@
     """
     hosts = [f"host-{index + 1}" for index in range(options.hosts)]
     upstreams = [f"u{index + 1}" for index in range(options.upstreams)]
+    open_upstreams = [f"o{index + 1}" for index in range(options.open_upstreams)]
     result = SoakResult(
         faults=list(options.fixed_faults) or _draw(options, hosts=hosts, upstreams=upstreams)
     )
@@ -160,7 +164,7 @@
         nursery.start_soon(_fail_on_signal)
         nursery.start_soon(_record_delays, records)
         try:
-            await deployment.start(hosts=hosts, upstreams=upstreams)
+            await deployment.start(hosts=hosts, upstreams=upstreams, open_upstreams=open_upstreams)
             await _wait_for_recovery(deployment, result, "start", options.probe_limit_s)
             with trio.CancelScope() as load_scope:
                 async with trio.open_nursery() as caller_nursery:
@@ -175,6 +179,7 @@
                                 records=records,
                                 deadline_s=options.deadline_s,
                                 idle_limit_s=idle_limit_s if rests else None,
+                                open_share=OPEN_SHARE if options.open_upstreams else 0.0,
                             )
                         )
                     async with trio.open_nursery() as operator_nursery:
--- a/src/acaciasaddle/platform/standins/__init__.py
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -5,6 +5,8 @@
 from acaciasaddle.platform.standins._messages import DEPOSIT_PREFIX
 from acaciasaddle.platform.standins._messages import IDLE_TIMEOUT_S
 from acaciasaddle.platform.standins._messages import NOT_RUN_STATUSES
+from acaciasaddle.platform.standins._messages import OPEN_PREFIX
+from acaciasaddle.platform.standins._messages import OPEN_SERVICE
 from acaciasaddle.platform.standins._messages import READ_PREFIX
 from acaciasaddle.platform.standins._messages import ROUTE_TIMEOUT_S
 from acaciasaddle.platform.standins._messages import SERVICE
@@ -22,6 +24,8 @@
     "DEPOSIT_PREFIX",
     "IDLE_TIMEOUT_S",
     "NOT_RUN_STATUSES",
+    "OPEN_PREFIX",
+    "OPEN_SERVICE",
     "READ_PREFIX",
     "ROUTE_TIMEOUT_S",
     "SERVICE",
--- a/src/acaciasaddle/platform/standins/_messages.py
+++ b/src/acaciasaddle/platform/standins/_messages.py
@@ -8,10 +8,14 @@
 
 HOST = "soak.example"
 SERVICE = "ledger"
+OPEN_SERVICE = "notes"
+"""Service without keys."""
 READ_PREFIX = "/reads/"
 """Path prefix of idempotent requests, which may run more than once."""
 DEPOSIT_PREFIX = "/deposits/"
 """Path prefix of requests that run at most once per attempt of a caller."""
+OPEN_PREFIX = "/open"
+"""Comes before the prefixes of requests to the service without keys."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses with which the router guarantees that the request has not run and never will."""
 
@@ -28,15 +32,19 @@
     timeout_s: float = ROUTE_TIMEOUT_S,
     unused_routes: int = 0,
     idle_timeout_s: float = IDLE_TIMEOUT_S,
+    open_service: bool = False,
 ) -> dict[str, Any]:
     """Return an operator's configuration with a read route, a deposit route and extra routes.
 
     The paths of the extra routes begin with ``/extra-0/``, ``/extra-1/`` and so on. Nothing is sent
-    on the ``unused_routes``, which only make the configuration large.
+    on the ``unused_routes``, which only make the configuration large. With ``open_service``, there
+    are also a read route and a deposit route of the service without keys.
     """
     prefixes = [(READ_PREFIX, "idempotent", 0), (DEPOSIT_PREFIX, "non_idempotent", 1)]
     prefixes += [(extra_path(index), "idempotent", 2) for index in range(extra_routes)]
     prefixes += [(f"/unused-{index}/", "idempotent", 2) for index in range(unused_routes)]
+    open_prefixes = [(f"{OPEN_PREFIX}{prefix}", kind, rank) for prefix, kind, rank in prefixes[:2]]
+    prefixes += open_prefixes if open_service else []
     paths = [
         {
             "name": prefix.strip("/"),
@@ -46,21 +54,23 @@
             "targetLatencyS": 0.5,
             "maxAttempts": 3,
             "priority": priority,
-            "service": SERVICE,
+            "service": OPEN_SERVICE if prefix.startswith(f"{OPEN_PREFIX}/") else SERVICE,
         }
         for prefix, route_type, priority in prefixes
     ]
+    services = [(SERVICE, True), *([(OPEN_SERVICE, False)] if open_service else [])]
     return {
         "version": version,
         "virtualHosts": [{"host": HOST, "paths": paths}],
         "services": [
             {
-                "name": SERVICE,
+                "name": name,
                 "healthPath": "/healthz",
                 "maxConnections": 130,
-                "sharded": True,
+                "sharded": keyed,
                 "warmupS": 0.0,
             }
+            for name, keyed in services
         ],
         "limits": {
             "maxHeaderBytes": 16_384,
@@ -76,11 +86,15 @@
     return f"/extra-{index}/"
 
 
-def caller_headers(*, request_id: str, key: int, deadline_s: float) -> list[tuple[bytes, bytes]]:
-    """Return the request headers of one attempt of a caller."""
-    return [
+def caller_headers(
+    *, request_id: str, key: int | None, deadline_s: float
+) -> list[tuple[bytes, bytes]]:
+    """Return the request headers of one attempt of a caller; ``key`` is ``None`` without a key."""
+    headers = [
         (b"Host", HOST.encode()),
         (_wire.REQUEST_ID.encode(), request_id.encode()),
         (_wire.DEADLINE_MS.encode(), str(int(deadline_s * 1000)).encode()),
-        (_wire.KEY.encode(), str(key).encode()),
     ]
+    if key is not None:
+        headers.append((_wire.KEY.encode(), str(key).encode()))
+    return headers
--- a/src/acaciasaddle/platform/standins/_upstream_app.py
+++ b/src/acaciasaddle/platform/standins/_upstream_app.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import math
 import random
 import time
 from array import array
@@ -55,7 +56,8 @@
     which the connection is closed. ``slow_share`` is the share of the runs that take
     ``SLOW_WORK_S``. ``pause_share`` is the share of the requests that are turned away with a
     ``Retry-After`` of ``PAUSE_S``. An upstream that leaves says so in its answers for
-    ``quiet_leave_s`` before it reports that it drains.
+    ``quiet_leave_s`` before it reports that it drains. One that is not ``keyed`` runs requests for
+    any key or none.
     """
 
     upstream_id: str
@@ -71,6 +73,7 @@
     slow_share: float = 0.0
     pause_share: float = 0.0
     quiet_leave_s: float = 0.0
+    keyed: bool = True
 
 
 @dataclass(eq=False, slots=True, kw_only=True)
@@ -261,7 +264,7 @@
         ends_at = trio.current_time() + self._draw_work_s()
         while (remaining_s := ends_at - trio.current_time()) > 0:
             if not run.release_waiting:
-                remaining_s = min(remaining_s, self._lease_ends[run.key] - time.monotonic())
+                remaining_s = min(remaining_s, self._owned_until(run.key) - time.monotonic())
             if remaining_s <= 0:
                 return False
             await trio.sleep(remaining_s)
@@ -274,7 +277,10 @@
         return self._settings.work_s * self._random.uniform(0.5, 1.5)
 
     def _owns(self, key: int) -> bool:
-        return time.monotonic() < self._lease_ends[key]
+        return time.monotonic() < self._owned_until(key)
+
+    def _owned_until(self, key: int) -> float:
+        return self._lease_ends[key] if self._settings.keyed else math.inf
 
     async def _respond(
         self, exchange: Exchange, request_id: str, body: bytes, *, succeeded: bool
