Callers: a busy process does not refuse request heads that arrived in time

What callers see: a request whose head is split over two packets gets 408 and its kept connection is closed, although its end arrived in time, if the process is busy while the time for it runs out.

Cause: the scheduler ends the wait for the head in the same pass in which it learns of the input.

Change: at the end of that time, input that has arrived is read before the request is refused. The limit of the head bounds this.

Evidence: with ten heads that end 0.05 s after they begin, a limit of 0.2 s and a process that is busy for 0.2 s, all ten callers got 408; the new scenario failed and passes now. A head that does not end still gets 408.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -139,6 +139,12 @@
     When a caller sends the raw request "GET / HTTP/1.1~Host" and waits
     Then the responses are "408"
 
+  # Guards against a refusal of requests that the process itself has read late.
+  Scenario: a request head that ends in time while the process is busy is not refused
+    Given a listener whose handler takes "0" s
+    When 10 callers end their request heads in time, and the process is busy beyond the limit
+    Then all of them are answered
+
   Scenario: a request is cancelled when its caller disconnects
     Given a listener whose handler takes "5" s
     When a caller sends "GET /1" at once and disconnects after 0.05 s
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -460,6 +460,31 @@
         context.answers = []
         trio.run(main)
 
+    @staticmethod
+    @when(
+        "{count:d} callers end their request heads in time, and the process is busy beyond the "
+        "limit"
+    )
+    def heads_while_busy(context: Any, count: int) -> None:
+        async def main() -> None:
+            async with _running_server(context, LIMITS) as running:
+                callers = [socket.create_connection(running.address) for _ in range(count)]
+                for caller in callers:
+                    caller.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n")
+                await trio.sleep(PART_PAUSE_S)
+                for caller in callers:
+                    caller.sendall(b"\r\n")
+                time.sleep(LIMITS.header_timeout_s)
+                for caller in callers:
+                    caller.setblocking(False)
+                    stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+                    with trio.move_on_after(2.0):
+                        context.answers.append(await stream.receive_some(100))
+                    await stream.aclose()
+
+        context.answers = []
+        trio.run(main)
+
     @staticmethod
     @then("all of them are answered")
     def all_answered(context: Any) -> None:
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -178,7 +178,7 @@
 
     @staticmethod
     def _new_parser() -> h11.Connection:
-        # The limit in force may change while the parser is in use, see ``_next_event``.
+        # The limit in force may change while the parser is in use, see ``_available_event``.
         return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     # Receiving.
@@ -233,15 +233,20 @@
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             received = self._received
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
-                raise h11.RemoteProtocolError(
-                    "the request head is too large", error_status_hint=431
-                )
+            event = self._available_event()
+            if event is not None:
+                return event
             await received.wait()
 
+    def _available_event(self) -> h11.Event | type[h11.PAUSED] | None:
+        """Return the next event, or ``None`` if it needs more input."""
+        event = self._parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event  # type: ignore[return-value]
+        if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
+            raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
+        return None
+
     # Serving.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
@@ -334,7 +339,7 @@
             return None
         received_at = trio.current_time()
         if _head_size(head) > self._limits().max_header_bytes:
-            # ``_next_event`` only checks heads that are not complete.
+            # ``_available_event`` only checks heads that are not complete.
             raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         if "content-length" in fields and "transfer-encoding" in fields:
@@ -369,8 +374,16 @@
             if trio.current_time() >= self._close_at and self._shut_down_if_unused():
                 return None
         self._is_reading_request = True
+        event = None
         with trio.move_on_after(self._limits().header_timeout_s):
             event = await self._next_event()
+        if event is None:
+            event = self._available_event()
+        while event is None and self._has_unread_input():
+            # A process that is busy is late itself; this input may have arrived in time.
+            await self._received.wait()
+            event = self._available_event()
+        if event is not None:
             return event if isinstance(event, h11.Request) else None
         raise h11.RemoteProtocolError(
             "the request head did not arrive in time", error_status_hint=408
@@ -414,7 +427,13 @@
 
     def _has_input(self) -> bool:
         """Return whether a request has arrived at least in part and is not passed on yet."""
-        if self._is_reading_request or self._has_taken_input or self._parser.trailing_data[0]:
+        if self._is_reading_request or self._parser.trailing_data[0]:
+            return True
+        return self._has_unread_input()
+
+    def _has_unread_input(self) -> bool:
+        """Return whether input has arrived that is not in the parser yet."""
+        if self._has_taken_input:
             return True
         sock = getattr(self._stream, "socket", None)
         if sock is None:
