Listener: a busy process sends the responses that are ready when its stop ends

What callers see: the connection closes without an answer although the upstream has answered in time.

Cause: a process that is busy around the end of its stop learns of that end and of the responses in the same pass of the scheduler, and then ends its connections at once.

Change: after the end of the stop, 0.1 s of the margin before the end of the grace time is left for responses that are ready. Requests for which no response is ready are broken off that much later.

--- a/features/steps/callers_listener_steps.py
+++ b/features/steps/callers_listener_steps.py
@@ -81,6 +81,50 @@
         for caller in callers:
             caller.join()
 
+    @staticmethod
+    @when(
+        "{count:d} callers wait for responses that become ready {early_s:g} s before the stop "
+        "ends, and the process is busy from then until {late_s:g} s after its end"
+    )
+    def busy_at_stop_end(context: Any, count: int, early_s: float, late_s: float) -> None:
+        steps = ListenerStopSteps
+        port = reserve_port()
+        ready_at = 0.0
+
+        async def answer_when_ready(req: CallerRequest) -> CallerResponse:
+            await trio.sleep_until(ready_at)
+            return await steps._answer(req)
+
+        server = HttpServer(
+            address=f"127.0.0.1:{port}", limits=CallerLimits, handle=answer_when_ready
+        )
+        listener = Listener(servers=(server,), callers=server, grace_s=GRACE_S)
+        kernel = Kernel()
+        kernel.add(listener)
+        start = threading.Event()
+        context.received = []
+        callers = [
+            threading.Thread(target=steps._call, args=(port, start, context.received))
+            for _ in range(count)
+        ]
+
+        async def main() -> None:
+            nonlocal ready_at
+            async with trio.open_nursery() as nursery:
+                await nursery.start(kernel.run)
+                stop = listener.announce_stop()
+                ready_at = stop.ends_at - early_s
+                for caller in callers:
+                    caller.start()
+                start.set()
+                kernel.shutdown()
+                await trio.sleep_until(ready_at - EARLY_S)
+                time.sleep(EARLY_S + early_s + late_s)
+
+        trio.run(main)
+        for caller in callers:
+            caller.join()
+
     @staticmethod
     @then("each of these callers is answered")
     def all_answered(context: Any) -> None:
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -212,6 +212,9 @@
         self._callers.close_idle()
         with trio.move_on_at(stop.ends_at):
             await self._callers.wait_until_ended()
+        # A busy process sees this end late, and in the same step responses that are ready since.
+        with trio.move_on_after(LAST_RESPONSES_S):
+            await self._callers.wait_until_ended()
         log.info("listener stopped", open=self._callers.open_connections)
 
 
@@ -219,4 +222,7 @@
 """The listener stops accepting requests this long before the end of the grace time, or halfway
 through it if that is later. Requests that might not finish by then are refused before."""
 EXIT_MARGIN_S = 0.4
-"""The listener stops waiting for open connections this long before the end of the grace time."""
+"""The listener stops waiting for requests in progress this long before the end of the grace
+time."""
+LAST_RESPONSES_S = 0.1
+"""Time after that in which responses that are ready are still sent."""
