--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -8,6 +8,7 @@
 
 import math
 import socket
+import sys
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -175,8 +176,10 @@
             unread_request=self._unread_request,
         )
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits().max_header_bytes)
+    @staticmethod
+    def _new_parser() -> h11.Connection:
+        # The limit in force may change while the parser is in use, see ``_available_event``.
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     # Receiving.
 
@@ -230,11 +233,20 @@
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             received = self._received
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
+            event = self._available_event()
+            if event is not None:
+                return event
             await received.wait()
 
+    def _available_event(self) -> h11.Event | type[h11.PAUSED] | None:
+        """Return the next event, or ``None`` if it needs more input."""
+        event = self._parser.next_event()
+        if event is not h11.NEED_DATA:
+            return event  # type: ignore[return-value]
+        if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
+            raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
+        return None
+
     # Serving.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
@@ -327,14 +339,14 @@
             return None
         received_at = trio.current_time()
         if _head_size(head) > self._limits().max_header_bytes:
-            # The parser only limits heads that do not arrive in one piece.
+            # ``_available_event`` only checks heads that are not complete.
             raise h11.RemoteProtocolError("the request head is too large", error_status_hint=431)
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         if "content-length" in fields and "transfer-encoding" in fields:
             raise h11.RemoteProtocolError(
                 "the request has both Content-Length and Transfer-Encoding"
             )
-        if fields.get("expect", "").lower() == "100-continue":
+        if self._parser.they_are_waiting_for_100_continue:
             while self._pending:
                 # Responses are sent in the order of the requests, and this one is no exception.
                 self._holds_body_back = True
@@ -362,8 +374,16 @@
             if trio.current_time() >= self._close_at and self._shut_down_if_unused():
                 return None
         self._is_reading_request = True
+        event = None
         with trio.move_on_after(self._limits().header_timeout_s):
             event = await self._next_event()
+        if event is None:
+            event = self._available_event()
+        while event is None and self._has_unread_input():
+            # A process that is busy is late itself; this input may have arrived in time.
+            await self._received.wait()
+            event = self._available_event()
+        if event is not None:
             return event if isinstance(event, h11.Request) else None
         raise h11.RemoteProtocolError(
             "the request head did not arrive in time", error_status_hint=408
@@ -407,7 +427,13 @@
 
     def _has_input(self) -> bool:
         """Return whether a request has arrived at least in part and is not passed on yet."""
-        if self._is_reading_request or self._has_taken_input or self._parser.trailing_data[0]:
+        if self._is_reading_request or self._parser.trailing_data[0]:
+            return True
+        return self._has_unread_input()
+
+    def _has_unread_input(self) -> bool:
+        """Return whether input has arrived that is not in the parser yet."""
+        if self._has_taken_input:
             return True
         sock = getattr(self._stream, "socket", None)
         if sock is None:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -131,6 +131,7 @@
         self.listener = Listener(
             servers=(*servers, readiness), callers=self.callers, grace_s=bounds.grace_s
         )
+        self._loop_monitor = LoopMonitor(metrics=self.metrics)
         self.kernel = Kernel()
         self.watcher = Watcher(
             view=self.view,
@@ -148,6 +149,7 @@
 
     async def run(self) -> None:
         """Run the services until SIGTERM or SIGINT, then stop them."""
+        trio.lowlevel.add_instrument(self._loop_monitor)
         # Install the handlers first: without them a signal ends the process at once.
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
@@ -160,6 +162,9 @@
 
         A signal that nobody takes from the receiver is raised again when it closes, and would then
         end a process that is about to stop in good order.
+
+        The grace time runs from the signal, which a busy process sees late. The stop therefore
+        begins at the earliest time at which the signal may have arrived.
         """
         stopping = False
         async for signum in signals:
@@ -170,7 +175,9 @@
             else:
                 stopping = True
                 log.info("stopping on signal", signal=signum)
-                self.forwarder.note_stop(self.listener.announce_stop())
+                delay_s = self._loop_monitor.longest_delay_s()
+                stop = self.listener.announce_stop(signalled_after=trio.current_time() - delay_s)
+                self.forwarder.note_stop(stop)
                 self.kernel.shutdown()
 
     async def _run_services(self) -> None:
@@ -232,5 +239,4 @@
     configure_node_logging(level=settings.log_level, host=settings.host_id)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 100)
-    node = Node(settings=settings)
-    trio.run(node.run, instruments=[LoopMonitor(metrics=node.metrics)])
+    trio.run(Node(settings=settings).run)
--- a/src/acaciasaddle/observe/_loop.py
+++ b/src/acaciasaddle/observe/_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +16,10 @@
 MIN_DELAY_S = 0.1
 """Half of the time that a closing connection leaves its caller for the next request."""
 
+PASSES_TO_TASK = 3
+"""Passes of the loop until a task runs for a signal: one in which the signal arrives, one in which
+trio takes it, and one in which the task runs."""
+
 log = get_logger("loop")
 
 
@@ -28,12 +33,18 @@
     def __init__(self, *, metrics: Metrics) -> None:
         self._metrics = metrics
         self._since = time.monotonic()
+        self._waits = deque([self._since], maxlen=PASSES_TO_TASK)
+
+    def longest_delay_s(self) -> float:
+        """Return how long ago a signal that a task handles now may have arrived."""
+        return time.monotonic() - self._waits[0]
 
     def before_io_wait(self, timeout: float) -> None:
         """Called by trio before the loop waits for at most ``timeout`` s."""
         now = time.monotonic()
         self._note("busy", now - self._since)
         self._since = now
+        self._waits.append(now)
 
     def after_io_wait(self, timeout: float) -> None:
         """Called by trio after that wait."""
