--- a/src/acaciasaddle/emulator/soak/_processes.py
+++ b/src/acaciasaddle/emulator/soak/_processes.py
@@ -59,13 +59,15 @@
 
     ``processes`` has the processes by name: ``store``, and the ids of the upstreams and hosts.
     ``relays`` are the relays by the ``target`` of their faults. ``node_args`` are the interpreter's
-    arguments that run a node, before the path of its settings.
+    arguments that run a node, before the path of its settings, and ``node_settings`` are further
+    settings of all nodes.
     """
 
     directory: Path
     records: RecordFile
     nursery: trio.Nursery
     node_args: tuple[str, ...] = NODE_ARGS
+    node_settings: dict[str, Any] = field(default_factory=dict)
     fail_share: float = 0.0
     slow_share: float = 0.0
     slots: int = 2
@@ -73,6 +75,8 @@
     quiet_leave_s: float = 0.0
     route_timeout_s: float = ROUTE_TIMEOUT_S
     unused_routes: int = 0
+    max_body_bytes: int = 1_048_576
+    file_timeout_s: float = 0.0
     processes: dict[str, ManagedProcess] = field(default_factory=dict)
     host_addresses: dict[str, str] = field(default_factory=dict)
     readiness_addresses: dict[str, str] = field(default_factory=dict)
@@ -126,6 +130,7 @@
             "ip": "127.0.0.1",
             "ports": [reserve_port(), reserve_port()],
             "platform_address": await self.nursery.start(relay.run),
+            **self.node_settings,
         }
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
@@ -254,6 +259,8 @@
             "timeout_s": self.route_timeout_s,
             "unused_routes": self.unused_routes,
             "idle_timeout_s": self.idle_timeout_s,
+            "max_body_bytes": self.max_body_bytes,
+            "file_timeout_s": self.file_timeout_s,
         }
         await self.control_store("configuration", options)
         self.records.add("configured", started=started, version=self.configuration_version)
--- a/src/acaciasaddle/platform/standins/__init__.py
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from acaciasaddle.platform.standins._messages import DEPOSIT_PREFIX
+from acaciasaddle.platform.standins._messages import FILE_PREFIX
+from acaciasaddle.platform.standins._messages import FILE_SERVICE
 from acaciasaddle.platform.standins._messages import IDLE_TIMEOUT_S
 from acaciasaddle.platform.standins._messages import NOT_RUN_STATUSES
 from acaciasaddle.platform.standins._messages import READ_PREFIX
@@ -20,6 +22,8 @@
 
 __all__ = [
     "DEPOSIT_PREFIX",
+    "FILE_PREFIX",
+    "FILE_SERVICE",
     "IDLE_TIMEOUT_S",
     "NOT_RUN_STATUSES",
     "READ_PREFIX",
--- a/src/acaciasaddle/platform/standins/_messages.py
+++ b/src/acaciasaddle/platform/standins/_messages.py
@@ -8,6 +8,9 @@
 
 HOST = "soak.example"
 SERVICE = "ledger"
+FILE_SERVICE = "files"
+"""A service without keys, which takes uploads and answers with large bodies."""
+FILE_PREFIX = "/files/"
 READ_PREFIX = "/reads/"
 """Path prefix of idempotent requests, which may run more than once."""
 DEPOSIT_PREFIX = "/deposits/"
@@ -28,11 +31,14 @@
     timeout_s: float = ROUTE_TIMEOUT_S,
     unused_routes: int = 0,
     idle_timeout_s: float = IDLE_TIMEOUT_S,
+    max_body_bytes: int = 1_048_576,
+    file_timeout_s: float = 0.0,
 ) -> dict[str, Any]:
     """Return an operator's configuration with a read route, a deposit route and extra routes.
 
     The paths of the extra routes begin with ``/extra-0/``, ``/extra-1/`` and so on. Nothing is sent
-    on the ``unused_routes``, which only make the configuration large.
+    on the ``unused_routes``, which only make the configuration large. ``FILE_SERVICE`` and its
+    route are part of it if ``file_timeout_s`` is given.
     """
     prefixes = [(READ_PREFIX, "idempotent", 0), (DEPOSIT_PREFIX, "non_idempotent", 1)]
     prefixes += [(extra_path(index), "idempotent", 2) for index in range(extra_routes)]
@@ -50,21 +56,35 @@
         }
         for prefix, route_type, priority in prefixes
     ]
+    services = [SERVICE]
+    if file_timeout_s:
+        services.append(FILE_SERVICE)
+        paths.append(
+            {
+                **paths[0],
+                "name": FILE_PREFIX.strip("/"),
+                "prefix": FILE_PREFIX,
+                "routeType": "upload",
+                "timeoutS": file_timeout_s,
+                "service": FILE_SERVICE,
+            }
+        )
     return {
         "version": version,
         "virtualHosts": [{"host": HOST, "paths": paths}],
         "services": [
             {
-                "name": SERVICE,
+                "name": name,
                 "healthPath": "/healthz",
                 "maxConnections": 130,
-                "sharded": True,
+                "sharded": name == SERVICE,
                 "warmupS": 0.0,
             }
+            for name in services
         ],
         "limits": {
             "maxHeaderBytes": 16_384,
-            "maxBodyBytes": 1_048_576,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutS": 5.0,
             "idleTimeoutS": idle_timeout_s,
         },
