--- a/features/support/large_bodies.py
+++ b/features/support/large_bodies.py
@@ -18,6 +18,7 @@
 from acaciasaddle.emulator._json_http import request_json
 from acaciasaddle.emulator.soak._processes import Deployment
 from acaciasaddle.emulator.soak._records import RecordFile
+from acaciasaddle.memory import SMALL_BODY_BYTES
 from acaciasaddle.platform.standins import FILE_PREFIX
 from acaciasaddle.platform.standins import FILE_SERVICE
 from acaciasaddle.platform.standins import caller_headers
@@ -35,13 +36,13 @@
 """Memory of the hosts of the grown sites."""
 MB = 1_000_000
 PIECE = bytes(MB)
-PIECES_AT_ONCE = 4
 
 
 class FileUpstream:
     """Answers ``FILE_PREFIX`` + N with N bytes after it has read the whole body of the request.
 
-    It answers ``work_s`` later. ``bodies`` has the sizes of the bodies that it read.
+    If that is a large one, it answers ``work_s`` later. ``bodies`` has the sizes of the bodies that
+    it read.
     """
 
     def __init__(self, *, work_s: float = 0.0) -> None:
@@ -74,7 +75,7 @@
             if not data:
                 return False
             size += len(data)
-        await trio.sleep(self.work_s)
+        await trio.sleep(self.work_s if size > SMALL_BODY_BYTES else 0.0)
         self.bodies.append(size)
         answer_bytes = int(first_line.split()[1].removeprefix(FILE_PREFIX))
         head = (
@@ -88,7 +89,7 @@
 
 @dataclass(kw_only=True)
 class LargeBodies:
-    """A node, its upstream, and what callers saw: a count of the requests by status.
+    """One or more nodes, their upstream, and what callers saw: a count of the requests by status.
 
     Status 0 stands for a connection that ended or stayed silent without a complete response.
     """
@@ -98,16 +99,17 @@
     seen: Counter[int] = field(default_factory=Counter)
     seconds: list[float] = field(default_factory=list)
 
-    @property
-    def pid(self) -> int:
-        """Process id of the node."""
-        process = self.deployment.processes[HOST_NAME].process
-        assert process is not None
-        return process.pid
-
     def memory_mb(self, name: str = "VmHWM") -> float:
-        """Return the peak of the node's resident memory, or another value, in MB of 10^6 bytes."""
-        status = Path(f"/proc/{self.pid}/status").read_text()
+        """Return the peak of the resident memory, or another value, in MB of 10^6 bytes.
+
+        Of several nodes, it is that of the one with the most.
+        """
+        return max(self._memory_of(host, name) for host in self.deployment.host_addresses)
+
+    def _memory_of(self, host: str, name: str) -> float:
+        process = self.deployment.processes[host].process
+        assert process is not None
+        status = Path(f"/proc/{process.pid}/status").read_text()
         fields = dict(line.split(":", 1) for line in status.splitlines())
         return int(fields[name].split()[0]) * 1024 / MB
 
@@ -118,21 +120,23 @@
         answer_bytes: int = 10,
         chunk_bytes: int = 0,
         read_mb_per_s: float = 0.0,
+        reads_last: bool = False,
         deadline_s: float = 30.0,
         limit_s: float = 60.0,
     ) -> int:
         """Send one request on a connection of its own and return the status of its answer.
 
         The body is sent in chunks of ``chunk_bytes`` if that is given. The answer is read at
-        ``read_mb_per_s`` if that is given.
+        ``read_mb_per_s`` if that is given, and not before the whole body is sent if ``reads_last``
+        is set.
         """
         status, started = 0, time.monotonic()
         with trio.move_on_after(limit_s):
             try:
                 status = await self._exchange(
-                    body_bytes, answer_bytes, chunk_bytes, read_mb_per_s, deadline_s
+                    body_bytes, answer_bytes, chunk_bytes, read_mb_per_s, reads_last, deadline_s
                 )
-            except (OSError, trio.BrokenResourceError):
+            except* (OSError, trio.BrokenResourceError):
                 status = 0
         self.seen[status] += 1
         self.seconds.append(time.monotonic() - started)
@@ -144,6 +148,7 @@
         answer_bytes: int,
         chunk_bytes: int,
         read_mb_per_s: float,
+        reads_last: bool,
         deadline_s: float,
     ) -> int:
         address, _, port = self.deployment.host_addresses[HOST_NAME].rpartition(":")
@@ -156,7 +161,10 @@
         head = f"POST {FILE_PREFIX}{answer_bytes} HTTP/1.1\r\n".encode()
         head += b"".join(name + b": " + value + b"\r\n" for name, value in headers)
         async with stream, trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, stream, head + b"\r\n", body_bytes, chunk_bytes)
+            if reads_last:
+                await self._send(stream, head + b"\r\n", body_bytes, chunk_bytes)
+            else:
+                nursery.start_soon(self._send, stream, head + b"\r\n", body_bytes, chunk_bytes)
             status = await _read_answer(stream, read_mb_per_s)
             nursery.cancel_scope.cancel()
         return status
@@ -247,11 +255,17 @@
 
 @asynccontextmanager
 async def running_node(
-    *, routes: int = 0, work_s: float = 0.0, timeout_s: float = 30.0, memory_mb: int | None = None
+    *,
+    routes: int = 0,
+    work_s: float = 0.0,
+    timeout_s: float = 30.0,
+    memory_mb: int | None = None,
+    hosts: int = 1,
 ) -> AsyncIterator[LargeBodies]:
     """Start a node with a store and an upstream, and end them on exit.
 
     ``timeout_s`` is the route's timeout, ``memory_mb`` the host's memory in the node's settings.
+    The first of several nodes gets the requests.
     """
     with tempfile.TemporaryDirectory() as name:
         async with trio.open_nursery() as nursery:
@@ -267,7 +281,8 @@
                 node_settings={"capacity": {"memory_mb": memory_mb}} if memory_mb else {},
             )
             try:
-                await deployment.start(hosts=[HOST_NAME], upstreams=[])
+                names = [f"host-{number}" for number in range(1, hosts + 1)]
+                await deployment.start(hosts=names, upstreams=[])
                 nursery.start_soon(_report, deployment, upstream)
                 node = LargeBodies(deployment=deployment, upstream=upstream)
                 with trio.fail_after(10):
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -7,18 +7,27 @@
 from __future__ import annotations
 
 import math
+import random
 import socket
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import h11
 import trio
 
 from acaciasaddle.callers._input import has_input
+from acaciasaddle.errors import RefusedError
 from acaciasaddle.forward import CallerRequest
 from acaciasaddle.forward import CallerResponse
+from acaciasaddle.memory import SMALL_BODY_BYTES
+from acaciasaddle.memory import BodyTerms
+from acaciasaddle.memory import Hold
+from acaciasaddle.memory import LargeBody
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
@@ -26,11 +35,17 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Mapping
 
+    from acaciasaddle.memory import Body
     from acaciasaddle.observe import Metrics
     from acaciasaddle.routing import CallerLimits
 
 RECEIVE_BYTES = 65_536
+"""Bytes received at a time while a body is read."""
+HEAD_RECEIVE_BYTES = 16_384
+"""Bytes received at a time otherwise: all connections may have that much input in memory before any
+of them is given memory for a body."""
 MAX_PIPELINED = 16
 """Largest number of requests of one connection that are in progress at the same time."""
 READ_AHEAD_BYTES = 262_144
@@ -44,11 +59,25 @@
 caller's next request is probably on its way."""
 BODILESS_STATUSES = frozenset({204, 304})
 BODY_TIMEOUT_S = 30.0
+STEP_BYTES = 1_048_576
+"""Memory that a large body without length takes at a time."""
+REFUSED_BODY_S = 5.0
+"""Longest time for which the rest of a refused body is discarded before the connection closes."""
+RETRY_JITTER = 0.3
+"""Largest random addition to Retry-After, as a share of it."""
 SEND_TIMEOUT_S = 30.0
 
 log = get_logger("caller")
 
 
+class ReadBodyTerms(Protocol):
+    """Returns the terms of a request with a large body."""
+
+    def __call__(
+        self, target: str, fields: Mapping[str, str], *, received_at: float
+    ) -> BodyTerms: ...
+
+
 @dataclass(slots=True, eq=False)
 class _Exchange:
     """A request in progress, and the parser that read it and frames its response."""
@@ -57,6 +86,15 @@
     method: str = ""
     done: trio.Event = field(default_factory=trio.Event)
     response: CallerResponse | None = None
+    hold: Hold | None = None
+    """Memory of the request's body."""
+
+    def discard(self) -> None:
+        """Give back the memory of the response."""
+        if self.response is not None and self.response.hold is not None:
+            if isinstance(self.response.body, LargeBody):
+                self.response.body.clear()
+            self.response.hold.release()
 
 
 class CallerConnection:
@@ -81,9 +119,21 @@
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
         metrics: Metrics | None = None,
+        memory: MemoryBound | None = None,
+        body_terms: ReadBodyTerms | None = None,
     ) -> None:
-        """``limits`` returns the limits in force, which may change while the connection is open."""
+        """Create a connection.
+
+        ``limits`` returns the limits in force, which may change while the connection is open.
+        ``memory`` and ``body_terms`` are those of ``HttpServer``.
+        """
         self._metrics = metrics or NullMetrics()
+        self._memory = memory or MemoryBound()
+        self._body_terms = body_terms or _default_terms
+        self._waits_for_memory = False
+        self._refused = False
+        self._hold: Hold | None = None
+        self._terms: Callable[[], BodyTerms] | None = None
         self._stream = stream
         self._limits = limits
         self._handle = handle
@@ -91,6 +141,7 @@
         self._received = trio.Event()
         self._has_taken_input = False
         self._is_reading_request = False
+        self._is_reading_body = False
         self._holds_body_back = False
         self._is_shut_down = False
         self._progress = trio.Event()
@@ -121,6 +172,10 @@
                 nursery.start_soon(self._write_responses, nursery.cancel_scope)
                 await self._read_requests(nursery)
         finally:
+            if self._hold is not None:
+                self._hold.release()
+            for exchange in self._pending:
+                exchange.discard()
             with trio.move_on_after(LINGER_S, shield=True):
                 await self._close()
             self._log_close()
@@ -137,7 +192,7 @@
         try:
             if self._is_shut_down:
                 await self._wait_for_unread_input()
-            elif self._reading_done and not self._eof_received:
+            elif self._reading_done and not self._eof_received and not self._refused:
                 await self._stream.send_eof()
                 while data := await self._stream.receive_some(RECEIVE_BYTES):
                     self._discarded += len(data)
@@ -195,9 +250,12 @@
                 self._parser.receive_data(data)
             self._has_taken_input = False
             self._unread += len(data)
+            # Otherwise this task keeps it until the next input arrives.
+            data = b""
             self._notify_received()
-            while self._unread > READ_AHEAD_BYTES and (
-                self._holds_body_back or len(self._pending) >= MAX_PIPELINED
+            while self._waits_for_memory or (
+                self._unread > READ_AHEAD_BYTES
+                and (self._holds_body_back or len(self._pending) >= MAX_PIPELINED)
             ):
                 await self._progress.wait()
         self._eof_received = True
@@ -217,11 +275,14 @@
         if sock is not None:
             while not has_input(sock):
                 await trio.lowlevel.wait_readable(sock)
+            while self._waits_for_memory:
+                await self._progress.wait()
             if self._is_shut_down:
                 # What has arrived since stays unread. The tasks of the connection are cancelled.
                 await trio.sleep_forever()
             self._has_taken_input = True
-        return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        size = RECEIVE_BYTES if self._is_reading_body else HEAD_RECEIVE_BYTES
+        return bytes(await self._stream.receive_some(size))
 
     def _notify_received(self) -> None:
         self._received.set()
@@ -235,6 +296,11 @@
                 return event  # type: ignore[return-value]
             await received.wait()
 
+    async def _next_data(self) -> bytes | bytearray | None:
+        """Return the next part of a body, or ``None`` at its end."""
+        event = await self._next_event()
+        return event.data if isinstance(event, h11.Data) else None
+
     # Serving.
 
     async def _read_requests(self, nursery: trio.Nursery) -> None:
@@ -244,17 +310,21 @@
                 req = await self._read_request()
             except h11.RemoteProtocolError as exc:
                 log.info("request rejected", reason=str(exc), status=exc.error_status_hint)
-                self._close_reason = "rejected request"
-                self.closing = self._reading_done = True
-                exchange = _Exchange(self._parser)
-                exchange.response = CallerResponse(status=exc.error_status_hint, headers=[])
-                exchange.done.set()
-                self._enqueue(exchange)
+                self._refused = exc.error_status_hint == 413
+                self._reject(CallerResponse(status=exc.error_status_hint, headers=[]))
+                return
+            except RefusedError as exc:
+                # The bound on memory has logged it. The body stays unread.
+                wait_s = (exc.retry_after or 0.0) * (1.0 + RETRY_JITTER * random.random())
+                headers = [(b"Retry-After", f"{wait_s:.3f}".encode())]
+                self._refused = True
+                self._reject(CallerResponse(status=exc.status, headers=headers))
                 return
             if req is None:
                 break
             self._requests += 1
             exchange = _Exchange(self._parser, method=req.method)
+            exchange.hold, self._hold = self._hold, None
             rest, _ = self._parser.trailing_data
             self._unread = len(rest)
             if self.close_after_next or self._parser.their_state is not h11.DONE:
@@ -273,6 +343,15 @@
         self.closing = self._reading_done = True
         self._notify_progress()
 
+    def _reject(self, response: CallerResponse) -> None:
+        """Answer the request that is being read, and close the connection after that."""
+        self._close_reason = "rejected request"
+        self.closing = self._reading_done = True
+        exchange = _Exchange(self._parser)
+        exchange.response = response
+        exchange.done.set()
+        self._enqueue(exchange)
+
     def _enqueue(self, exchange: _Exchange) -> None:
         self._pending.append(exchange)
         self._notify_progress()
@@ -289,6 +368,11 @@
             self.unexpected_errors += 1
             log.error("unexpected error, request answered with 502", reason=describe_error(exc))
             exchange.response = CallerResponse(status=502, headers=[])
+        finally:
+            if exchange.hold is not None:
+                if isinstance(req.body, LargeBody):
+                    req.body.clear()
+                exchange.hold.release()
         exchange.done.set()
 
     async def _write_responses(self, scope: trio.CancelScope) -> None:
@@ -310,11 +394,16 @@
                     last = last and (self._reading_done or not self._has_input())
                     self._reading_done = self._reading_done or last
                     await self._send(exchange, exchange.response, close=last)
-                self._pending.popleft()
+                self._pending.popleft().discard()
                 self._note_idle()
                 self._idle_scope.deadline = self._close_at
                 self._notify_progress()
                 if self._reading_done and not self._pending:
+                    if self._refused:
+                        # The caller may only read the response once it has sent its body. The task
+                        # that receives discards it, and ends this one at its end.
+                        await self._stream.send_eof()
+                        await trio.sleep(REFUSED_BODY_S)
                     scope.cancel()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("connection to caller broken")
@@ -341,9 +430,16 @@
                 await self._progress.wait()
             self._holds_body_back = False
             self._notify_progress()
+            read_until = await self._hold_memory(head, fields, received_at)
             data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self._stream.send_all(data or b"")
-        body = await self._read_body()
+        elif "content-length" in fields or "transfer-encoding" in fields:
+            read_until = await self._hold_memory(head, fields, received_at)
+        else:
+            read_until = received_at + BODY_TIMEOUT_S
+        self._is_reading_body = True
+        body = await self._read_body(read_until)
+        self._is_reading_body = False
         return CallerRequest(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
@@ -419,19 +515,76 @@
         while not self._parser.trailing_data[0]:
             await self._received.wait()
 
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        with trio.move_on_after(BODY_TIMEOUT_S):
-            while True:
-                event = await self._next_event()
-                if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > self._limits().max_body_bytes:
-                        raise h11.RemoteProtocolError(
-                            "the request body is too large", error_status_hint=413
-                        )
+    async def _hold_memory(
+        self, head: h11.Request, fields: dict[str, str], received_at: float
+    ) -> float:
+        """Take memory for a body before it is read, and return until when it may be read.
+
+        Raises ``RefusedError`` if there is no memory, and ``RemoteProtocolError`` if the body is
+        too large.
+        """
+        self._terms = None
+        read_until = trio.current_time() + BODY_TIMEOUT_S
+        length = int(fields["content-length"]) if "content-length" in fields else SMALL_BODY_BYTES
+        if "content-length" in fields and length > self._limits().max_body_bytes:
+            raise _too_large()
+        if length <= SMALL_BODY_BYTES:
+            if length:
+                self._hold = self._memory.hold_small(length)
+            if "transfer-encoding" in fields:
+                self._terms = partial(
+                    self._body_terms, head.target.decode("latin-1"), fields, received_at=received_at
+                )
+            return read_until
+        terms = self._body_terms(head.target.decode("latin-1"), fields, received_at=received_at)
+        self._hold = await self._wait_for_memory(length, terms)
+        return min(trio.current_time() + BODY_TIMEOUT_S, terms.ends_at)
+
+    async def _wait_for_memory(self, size: int, terms: BodyTerms) -> Hold:
+        """Take memory for a large body. Input that arrives until then is not read."""
+        self._waits_for_memory = True
+        try:
+            return await self._memory.hold_upload(size, terms)
+        finally:
+            self._waits_for_memory = False
+            self._notify_progress()
+
+    async def _grow_hold(self, size: int) -> None:
+        """Take more memory for a body without length, which is ``size`` bytes long so far.
+
+        It waits once, while it is still small, so that no two such bodies wait for each other.
+        Raises ``RefusedError`` if there is no memory.
+        """
+        hold, terms = self._hold, self._terms
+        assert hold is not None and terms is not None
+        if hold.size < size and hold.size > SMALL_BODY_BYTES:
+            if not hold.try_grow(size + STEP_BYTES):
+                self._memory.refuse_growth(size, terms())
+        elif hold.size < size:
+            self._hold = await self._wait_for_memory(size + STEP_BYTES, terms())
+            hold.release()
+
+    async def _read_body(self, read_until: float) -> Body:
+        small, large = bytearray(), None
+        with trio.move_on_at(read_until):
+            while (data := await self._next_data()) is not None:
+                size = len(data) + (len(small) if large is None else len(large))
+                if size > self._limits().max_body_bytes:
+                    raise _too_large()
+                if self._hold is not None and size > self._hold.size:
+                    await self._grow_hold(size)
+                if large is None and size <= SMALL_BODY_BYTES:
+                    small += data
                 else:
-                    return bytes(body)
+                    if large is None:
+                        large = LargeBody()
+                        large.append(small)
+                    large.append(data)
+                # Otherwise it is kept until more of the body arrives.
+                del data
+            if self._hold is not None:
+                self._hold.resize(len(small) if large is None else len(large))
+            return bytes(small) if large is None else large
         raise h11.RemoteProtocolError(
             "the request body did not arrive in time", error_status_hint=408
         )
@@ -454,14 +607,40 @@
             await self._send(exchange, CallerResponse(status=502, headers=[]), close=close)
             return
         data = parser.send(head) or b""
-        if exchange.method != "HEAD" and response.status not in BODILESS_STATUSES:
-            data += parser.send(h11.Data(data=response.body)) or b""
-        data += parser.send(h11.EndOfMessage()) or b""
+        if exchange.method == "HEAD" or response.status in BODILESS_STATUSES:
+            body: Body = b""
+        else:
+            body = response.body
         with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-            await self._stream.send_all(data)
+            if isinstance(body, LargeBody):
+                await self._stream.send_all(data)
+                await self._send_pieces(parser, body, response.hold)
+            else:
+                data += parser.send(h11.Data(data=body)) or b""
+                data += parser.send(h11.EndOfMessage()) or b""
+                await self._stream.send_all(data)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the caller did not read the response in time")
 
+    async def _send_pieces(
+        self, parser: h11.Connection, body: LargeBody, hold: Hold | None
+    ) -> None:
+        """Send a body and the end of the message, and give back the memory of what is sent."""
+        while (piece := body.pop()) is not None:
+            for part in parser.send_with_data_passthrough(h11.Data(data=piece)) or []:
+                await self._stream.send_all(part)
+            if hold is not None:
+                hold.resize(len(body))
+        await self._stream.send_all(parser.send(h11.EndOfMessage()) or b"")
+
+
+def _too_large() -> h11.RemoteProtocolError:
+    return h11.RemoteProtocolError("the request body is too large", error_status_hint=413)
+
+
+def _default_terms(_: str, __: Mapping[str, str], *, received_at: float) -> BodyTerms:
+    return BodyTerms(request_id="", rank=0, ends_at=received_at + BODY_TIMEOUT_S)
+
 
 def _head_size(head: h11.Request) -> int:
     fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -12,6 +12,7 @@
 from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
 from acaciasaddle.kernel import open_listening_socket
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
@@ -20,6 +21,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from acaciasaddle.callers._connection import ReadBodyTerms
     from acaciasaddle.forward import CallerRequest
     from acaciasaddle.forward import CallerResponse
     from acaciasaddle.observe import Metrics
@@ -52,8 +54,17 @@
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
         metrics: Metrics | None = None,
+        memory: MemoryBound | None = None,
+        body_terms: ReadBodyTerms | None = None,
     ) -> None:
+        """Create a server.
+
+        ``memory`` bounds the bodies of requests. ``body_terms`` returns the terms of a request with
+        a large body from its target, its header fields and the time at which its head was read.
+        """
         self._metrics = metrics or NullMetrics()
+        self._memory = memory or MemoryBound()
+        self._body_terms = body_terms
         self._address = address
         self._limits = limits
         self._handle = handle
@@ -136,7 +147,12 @@
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
         conn = CallerConnection(
-            stream=stream, limits=self._limits, handle=self._handle, metrics=self._metrics
+            stream=stream,
+            limits=self._limits,
+            handle=self._handle,
+            metrics=self._metrics,
+            memory=self._memory,
+            body_terms=self._body_terms,
         )
         conn.close_after_next = self._closing
         self._connections.add(conn)
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -28,6 +28,7 @@
 from acaciasaddle.forward._upstreams import UpstreamStates
 from acaciasaddle.http1 import ClientConnection
 from acaciasaddle.keyspace import LoadSample
+from acaciasaddle.memory import BodyTerms
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import get_logger
 from acaciasaddle.routing import Repeat
@@ -37,6 +38,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from acaciasaddle.fleet import FleetView
@@ -48,10 +50,13 @@
     from acaciasaddle.http1 import RawHeaders
     from acaciasaddle.http1 import Response
     from acaciasaddle.keyspace import Span
+    from acaciasaddle.memory import MemoryBound
     from acaciasaddle.observe import Metrics
 
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request that states none, or 0."""
+LAST_RANK = 2**31
+"""Rank of a request without a route."""
 RESPONSE_GRACE_S = 0.1
 """Time after a request's deadline in which a response that is on its way is still accepted."""
 MIN_ATTEMPT_S = 0.02
@@ -135,14 +140,16 @@
         budget: RepeatBudget,
         data_centre: str,
         metrics: Metrics | None = None,
+        memory: MemoryBound | None = None,
     ) -> None:
+        """``memory`` bounds the responses of upstreams."""
         self._metrics = metrics or NullMetrics()
         self._view = view
         self._dialect = dialect
         self._budget = budget
         self._states = UpstreamStates(data_centre=data_centre)
         self._splitter = TrafficSplitter()
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(memory=memory)
         self._random = random.Random()
         self._samples: list[LoadSample] = []
         self._slot_times = SlotTimes()
@@ -174,6 +181,20 @@
         self._reported_busy = self._states.busy()
         return self._reported_busy
 
+    def body_terms(
+        self, target: str, fields: Mapping[str, str], *, received_at: float
+    ) -> BodyTerms:
+        """Return the terms of a request with a large body, whose head was read at a given time."""
+        metadata = self._dialect.read_request(fields)
+        routes = self._view.routes
+        route = routes.match(fields.get("host", ""), target) if routes is not None else None
+        wait_s = metadata.deadline_s or DEFAULT_DEADLINE_S
+        return BodyTerms(
+            request_id=metadata.request_id,
+            rank=route.rank if route is not None else LAST_RANK,
+            ends_at=received_at + (min(wait_s, route.timeout_s) if route is not None else wait_s),
+        )
+
     async def handle(self, req: CallerRequest) -> CallerResponse:
         """Return the response to a request; refusals and failures become error responses."""
         metadata = self._dialect.read_request(req.fields)
@@ -660,7 +681,9 @@
 
 def _caller_response(resp: Response) -> CallerResponse:
     headers = end_to_end_headers(resp.headers)
-    return CallerResponse(status=resp.status, headers=headers, body=resp.body, reason=resp.reason)
+    return CallerResponse(
+        status=resp.status, headers=headers, body=resp.body, reason=resp.reason, hold=resp.hold
+    )
 
 
 def _refused(
--- a/src/acaciasaddle/forward/_pool.py
+++ b/src/acaciasaddle/forward/_pool.py
@@ -13,6 +13,7 @@
     from collections.abc import Collection
 
     from acaciasaddle.fleet import UpstreamEntry
+    from acaciasaddle.memory import MemoryBound
 
 CONNECT_TIMEOUT_S = 0.3
 """TCP resends a lost SYN after 1 s; giving up early and connecting again is faster."""
@@ -34,7 +35,9 @@
 class ConnectionPool:
     """Idle connections by upstream, reused in last-in, first-out order."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, memory: MemoryBound | None = None) -> None:
+        """``memory`` bounds the responses on the connections."""
+        self._memory = memory
         self._idle: dict[str, deque[ClientConnection]] = {}
         self.opened = 0
 
@@ -65,7 +68,9 @@
         if conn is not None:
             return conn
         self.opened += 1
-        return await ClientConnection.connect(address=upstream.address, timeout_s=CONNECT_TIMEOUT_S)
+        return await ClientConnection.connect(
+            address=upstream.address, timeout_s=CONNECT_TIMEOUT_S, memory=self._memory
+        )
 
     @staticmethod
     def _take_idle(idle: deque[ClientConnection], *, fresh: bool) -> ClientConnection | None:
--- a/src/acaciasaddle/forward/_types.py
+++ b/src/acaciasaddle/forward/_types.py
@@ -9,6 +9,8 @@
 from typing import ClassVar
 
 from acaciasaddle.http1 import RawHeaders
+from acaciasaddle.memory import Body
+from acaciasaddle.memory import Hold
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,18 +25,19 @@
     target: str
     headers: RawHeaders
     fields: Mapping[str, str]
-    body: bytes
+    body: Body
     received_at: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerResponse:
-    """The response that is sent to the caller."""
+    """The response that is sent to the caller. ``hold`` is the memory of its body."""
 
     status: int
     headers: RawHeaders
-    body: bytes = b""
+    body: Body = b""
     reason: bytes = b""
+    hold: Hold | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -9,9 +9,9 @@
 import select
 import socket
 import struct
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import ClassVar
 
 import h11
 import trio
@@ -20,23 +20,26 @@
 from acaciasaddle.errors import UpstreamError
 from acaciasaddle.errors import UpstreamUnreachableError
 from acaciasaddle.http1._heads import response_problem
+from acaciasaddle.memory import SMALL_BODY_BYTES
+from acaciasaddle.memory import Body
+from acaciasaddle.memory import Hold
+from acaciasaddle.memory import LargeBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from acaciasaddle.memory import MemoryBound
+
 RECEIVE_BYTES = 65_536
 MAX_RESPONSE_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Responses are held in memory until they are complete; hosts have about 200 MB."""
-UNCOUNTED_BYTES = 64 * 1024
-"""Bytes of each response that do not count towards ``MAX_BUFFERED_BYTES``, so that common responses
-are still received while a few upstreams send bodies without end."""
-MAX_BUFFERED_BYTES = 48 * 1024 * 1024
-"""Limit on the bytes of all unfinished responses of the process."""
+UNCOUNTED_BYTES = 16_384
+STEP_BYTES = 1_048_576
 MAX_DROPPED_RESPONSES = 8
 """Interim responses and responses to earlier requests that are dropped while one is awaited."""
-SMALL_BODY_BYTES = 8_192
+UNSPLIT_BYTES = 8_192
 """A body up to this size fits the socket buffers of both ends, so it is sent completely before the
 response is read. A larger one is sent in a task of its own while the response is read."""
 UPLOAD_END_S = 1.0
@@ -50,49 +53,89 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
-    """A complete response. Header names in ``fields`` are in lower case."""
+    """A complete response. Header names in ``fields`` are in lower case.
+
+    ``hold`` is the memory of its body, which is given back with the response.
+    """
 
     status: int
     reason: bytes
     headers: RawHeaders
     fields: dict[str, str]
-    body: bytes
+    body: Body
+    hold: Hold | None = None
+
+    @property
+    def content(self) -> bytes:
+        """The body as one object, which copies a large one."""
+        return bytes(self.body)
 
 
 class _ReceiveBuffer:
-    """The body of one response while it is received. All buffers share ``MAX_BUFFERED_BYTES``."""
+    """The body of one response while it is received.
 
-    _total_bytes: ClassVar[int] = 0
+    Of a body up to ``UNCOUNTED_BYTES``, no memory is accounted for. Of a larger one, that of its
+    whole length is, if the length is known, or else ``STEP_BYTES`` at a time.
+    """
+
+    def __init__(self, *, memory: MemoryBound | None, length: int) -> None:
+        self._memory = memory
+        self._length = length
+        self._small = bytearray()
+        self._large: LargeBody | None = None
+        self.hold: Hold | None = None
 
-    def __init__(self) -> None:
-        self.data = bytearray()
-        self._counted = 0
+    async def add(self, data: bytes | bytearray) -> bool:
+        """Append data and return true, or return false if that would exceed the limit.
 
-    def add(self, data: bytes) -> bool:
-        """Append data and return true, or return false if that would exceed a limit."""
-        size = len(self.data) + len(data)
-        counted = max(0, size - UNCOUNTED_BYTES)
-        total = _ReceiveBuffer._total_bytes + counted - self._counted
-        if size > MAX_RESPONSE_BYTES or (counted and total > MAX_BUFFERED_BYTES):
+        Waits until memory is free for it.
+        """
+        size = len(self._small) + len(data) if self._large is None else len(self._large) + len(data)
+        if max(size, self._length) > MAX_RESPONSE_BYTES:
             return False
-        _ReceiveBuffer._total_bytes = total
-        self._counted = counted
-        self.data += data
+        if self._memory is not None and size > UNCOUNTED_BYTES:
+            held = self.hold.size if self.hold is not None else 0
+            if size > held:
+                wanted = max(size, self._length) if self._length else size + STEP_BYTES
+                wanted = size if size <= SMALL_BODY_BYTES else wanted
+                self.hold = await self._memory.grow_response(self.hold, wanted)
+        if self._large is None and size <= SMALL_BODY_BYTES:
+            self._small += data
+            return True
+        if self._large is None:
+            self._large = LargeBody()
+            self._large.append(self._small)
+            self._small.clear()
+        self._large.append(data)
         return True
 
-    def release(self) -> None:
-        """Note that the response is complete or given up."""
-        _ReceiveBuffer._total_bytes -= self._counted
-        self._counted = 0
+    def take(self) -> Body:
+        """Return the complete body."""
+        body = bytes(self._small) if self._large is None else self._large
+        if self.hold is not None:
+            self.hold.resize(len(body))
+        return body
+
+    def discard(self) -> None:
+        """Give the memory back."""
+        self._small.clear()
+        if self._large is not None:
+            self._large.clear()
+        if self.hold is not None:
+            self.hold.release()
 
 
 class ClientConnection:
     """A connection that carries one request at a time.
 
-    Errors are raised as ``UpstreamError`` with the outcome as far as known.
+    Errors are raised as ``UpstreamError`` with the outcome as far as known. Large responses wait
+    for memory of the bound, if there is one.
     """
 
-    def __init__(self, *, stream: trio.SocketStream, peer: str) -> None:
+    def __init__(
+        self, *, stream: trio.SocketStream, peer: str, memory: MemoryBound | None = None
+    ) -> None:
+        self._memory = memory
         self._stream = stream
         self._peer = peer
         self._parser = h11.Connection(
@@ -105,7 +148,9 @@
         self._dropped = 0
 
     @classmethod
-    async def connect(cls, *, address: str, timeout_s: float) -> ClientConnection:
+    async def connect(
+        cls, *, address: str, timeout_s: float, memory: MemoryBound | None = None
+    ) -> ClientConnection:
         """Return a new connection to ``ip:port``.
 
         Raises ``UpstreamUnreachableError`` if it cannot be opened within ``timeout_s``.
@@ -122,7 +167,7 @@
                 peer=address,
             ) from exc
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(stream=stream, peer=address)
+        return cls(stream=stream, peer=address, memory=memory)
 
     def is_open_and_idle(self) -> bool:
         """Return whether the idle connection is open and has no unread input."""
@@ -146,7 +191,7 @@
         method: str,
         target: str,
         headers: Sequence[tuple[bytes, bytes]],
-        body: bytes = b"",
+        body: Body = b"",
         matches: Callable[[Response], bool] | None = None,
     ) -> Response:
         """Send a request and return its response.
@@ -159,7 +204,8 @@
         try:
             request = h11.Request(method=method, target=target, headers=list(headers))
             head = self._parser.send(request) or b""
-            data = body and (self._parser.send(h11.Data(data=body)) or b"")
+            pieces = [body] if isinstance(body, bytes) else body
+            data = [part for piece in pieces if piece for part in self._frame(piece)]
             self._parser.send(h11.EndOfMessage())
         except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
             raise UpstreamError(
@@ -169,20 +215,24 @@
                 peer=self._peer,
             ) from exc
         try:
-            if len(data) <= SMALL_BODY_BYTES:
-                await self._stream.send_all(head + data)
+            if len(body) <= UNSPLIT_BYTES:
+                await self._stream.send_all(b"".join([head, *data]))
                 response, _ = await self._receive(request, matches)
                 return response
-            return await self._send_and_receive(request, head + data, matches)
+            return await self._send_and_receive(request, deque([head, *data]), matches)
         except h11.RemoteProtocolError as exc:
             raise self._unknown_outcome(f"malformed response: {exc}") from exc
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise self._unknown_outcome("connection reset") from exc
 
+    def _frame(self, piece: bytes) -> list[bytes]:
+        """Return a piece of a body as it is sent, without a copy of it."""
+        return self._parser.send_with_data_passthrough(h11.Data(data=piece)) or []
+
     async def _send_and_receive(
         self,
         request: h11.Request,
-        data: bytes,
+        parts: deque[bytes],
         matches: Callable[[Response], bool] | None,
     ) -> Response:
         sent = False
@@ -191,7 +241,9 @@
         async def send() -> None:
             nonlocal sent
             try:
-                await self._stream.send_all(data)
+                # What has been sent is dropped here, so that it takes no memory beside the body.
+                while parts:
+                    await self._stream.send_all(parts.popleft())
                 sent = True
             except trio.BrokenResourceError:
                 # The upstream stopped reading the body, but may still send a response.
@@ -213,7 +265,11 @@
                     await send_ended.wait()
             nursery.cancel_scope.cancel()
         if failure is not None or response is None:
-            raise failure or self._unknown_outcome("no response")
+            try:
+                raise failure or self._unknown_outcome("no response")
+            finally:
+                # The traceback refers to this frame. In a cycle it would keep the body.
+                del failure
         if not sent:
             # The body was not sent completely, so the connection cannot carry another request.
             self.reusable = False
@@ -269,11 +325,14 @@
 
     async def _receive_one(self) -> tuple[Response, bool]:
         """Return the next final response, and whether its framing marked its end."""
-        buffer = _ReceiveBuffer()
+        head = await self._receive_head()
+        length = next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+        buffer = _ReceiveBuffer(memory=self._memory, length=length)
         try:
-            head = await self._receive_into(buffer)
-        finally:
-            buffer.release()
+            await self._receive_body(buffer)
+        except BaseException:
+            buffer.discard()
+            raise
         fields = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         framed = "content-length" in fields or "transfer-encoding" in fields
         framed = framed or head.status_code in (204, 304)
@@ -282,34 +341,40 @@
             reason=bytes(head.reason),
             headers=list(head.headers.raw_items()),
             fields=fields,
-            body=bytes(buffer.data),
+            body=buffer.take(),
+            hold=buffer.hold,
         )
         return response, framed
 
-    async def _receive_into(self, buffer: _ReceiveBuffer) -> h11.Response:
-        """Receive a final response; return its head and append its body to the buffer."""
-        head: h11.Response | None = None
+    async def _receive_event(self) -> object:
+        """Return the next event; raise ``UpstreamError`` if the connection ends instead."""
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            self._parser.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            raise self._unknown_outcome("connection closed before the end of the response")
+        return event
+
+    async def _receive_head(self) -> h11.Response:
+        """Return the head of a final response."""
         while True:
-            event = self._parser.next_event()
-            if event is h11.NEED_DATA:
-                data = await self._stream.receive_some(RECEIVE_BYTES)
-                self._parser.receive_data(data)
+            event = await self._receive_event()
+            if isinstance(event, h11.InformationalResponse):
+                self._note_dropped()
             elif isinstance(event, h11.Response):
                 problem = response_problem(
                     version=event.http_version, status=event.status_code, headers=event.headers
                 )
                 if problem:
                     raise self._unknown_outcome(f"malformed response: {problem}")
-                head = event
-            elif isinstance(event, h11.InformationalResponse):
-                self._note_dropped()
-            elif isinstance(event, h11.Data):
-                if not buffer.add(bytes(event.data)):
-                    raise self._unknown_outcome("the response exceeds the size limit")
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return head
-            elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-                raise self._unknown_outcome("connection closed before the end of the response")
+                return event
+
+    async def _receive_body(self, buffer: _ReceiveBuffer) -> None:
+        """Append the body of a response to the buffer."""
+        while not isinstance(event := await self._receive_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Data) and not await buffer.add(event.data):
+                raise self._unknown_outcome("the response exceeds the size limit")
+            # Otherwise it is kept until more of the body arrives.
+            del event
 
     def _unknown_outcome(self, reason: str) -> UpstreamError:
         return UpstreamError(reason, outcome=Outcome.UNKNOWN, step="http1.receive", peer=self._peer)
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -23,6 +23,7 @@
 from acaciasaddle.keyspace import Coordinator
 from acaciasaddle.keyspace import LoadHistory
 from acaciasaddle.links import Links
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.node._settings import load_node_settings
 from acaciasaddle.node._watch import Watcher
 from acaciasaddle.observe import RegistryMetrics
@@ -77,12 +78,16 @@
             ),
             hosts=lambda: self.links.hosts,
         )
+        self.memory = MemoryBound(
+            host_bytes=int(settings.capacity.memory_mb * 1_000_000), metrics=self.metrics
+        )
         self.forwarder = Forwarder(
             view=self.view,
             dialect=PlatformDialect(),
             budget=self.budget,
             metrics=self.metrics,
             data_centre=settings.data_centre,
+            memory=self.memory,
         )
         self.load = LoadHistory()
         self.coordinator = Coordinator(
@@ -114,6 +119,8 @@
             limits=self._limits,
             handle=self.forwarder.handle,
             metrics=self.metrics,
+            memory=self.memory,
+            body_terms=self.forwarder.body_terms,
         )
         servers = [self.callers]
         if settings.metrics_address is not None:
@@ -122,10 +129,14 @@
                     address=settings.metrics_address,
                     limits=CallerLimits,
                     handle=self._metrics_page,
+                    memory=self.memory,
                 )
             )
         readiness = HttpServer(
-            address=settings.readiness_address, limits=CallerLimits, handle=self._readiness
+            address=settings.readiness_address,
+            limits=CallerLimits,
+            handle=self._readiness,
+            memory=self.memory,
         )
         self.listener = Listener(
             servers=(*servers, readiness), callers=self.callers, grace_s=bounds.grace_s
@@ -170,6 +181,7 @@
                 stopping = True
                 log.info("stopping on signal", signal=signum)
                 self.forwarder.note_stop(self.listener.announce_stop())
+                self.memory.refuse_waiting()
                 self.kernel.shutdown()
 
     async def _run_services(self) -> None:
@@ -194,6 +206,9 @@
             "fleet.upstreams": float(len(view.upstreams)),
             "store.calls": float(self._store.calls),
             "forward.connections_opened": float(self.forwarder.connections_opened),
+            "memory.used_bytes": float(self.memory.used),
+            "memory.bound_bytes": float(self.memory.total),
+            "memory.uploads_waiting": float(self.memory.waiting),
             "process.peak_memory_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
             * 1024.0,
         }
--- a/src/acaciasaddle/node/_settings.py
+++ b/src/acaciasaddle/node/_settings.py
@@ -49,10 +49,14 @@
 
 
 class Capacity(msgspec.Struct, frozen=True, kw_only=True):
-    """Capacity of the host: processor time in cores, and the bandwidth of its network link."""
+    """Capacity of the host: processor time in cores, the bandwidth of its network link, and memory.
+
+    A process that exceeds ``memory_mb``, in MB of 10^6 bytes, may be killed.
+    """
 
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     bandwidth_mbps: Annotated[float, msgspec.Meta(gt=0)] = 1000.0
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 200.0
 
     @property
     def takeover_delay_s(self) -> float:
--- a/src/acaciasaddle/platform/_store.py
+++ b/src/acaciasaddle/platform/_store.py
@@ -156,7 +156,7 @@
             raise self._unavailable(step, f"refused with status {resp.status}")
         try:
             if resp.status == 200:
-                return _COMMITTED.decode(resp.body).ver
+                return _COMMITTED.decode(resp.content).ver
         except DECODING_ERRORS as exc:
             raise WriteOutcomeUnknownError(str(exc), step=step, peer=self._address) from exc
         raise WriteOutcomeUnknownError(
@@ -179,7 +179,7 @@
         if resp.status != 200:
             raise self._unavailable(step, f"answered with status {resp.status}")
         try:
-            return _ROWS.decode(resp.body)
+            return _ROWS.decode(resp.content)
         except DECODING_ERRORS as exc:
             raise self._unavailable(step, f"malformed response: {exc}") from exc
 
