--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -21,13 +21,14 @@
 import trio
 from features.support.large_bodies import HOST_MEMORY_MB
 from features.support.large_bodies import MB
-from features.support.large_bodies import LargeBodies
 from features.support.large_bodies import running_node
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from features.support.large_bodies import LargeBodies
+
 WORK_S = 1.0
 """Time for which the upstream keeps a request after its whole body, so that bodies are held."""
 SETTLE_S = 0.5
@@ -48,6 +49,7 @@
     read_mb_per_s: float = 0.0
     changes: int = 0
     rounds: int = 1
+    hosts: int = 1
 
     @property
     def offered_mb(self) -> float:
@@ -62,6 +64,7 @@
     Case(name="idle, 3,240 routes", routes=3_240),
     Case(name="configurations, 1,640 routes", routes=1_640, changes=CHANGES),
     Case(name="configurations, 3,240 routes", routes=3_240, changes=CHANGES),
+    Case(name="configurations, 3,240 routes, 3 hosts", routes=3_240, changes=CHANGES, hosts=3),
     Case(name="1 x 45 MB", uploads=((1, 45.0),)),
     Case(name="1 x 67 MB", uploads=((1, 67.0),)),
     Case(name="4 x 45 MB", uploads=((4, 45.0),)),
@@ -72,6 +75,8 @@
     Case(name="200 x 0.3 MB, 5 rounds", uploads=((200, 0.3),), rounds=5),
     Case(name="mixed sizes, 5 rounds", uploads=((8, 5.0), (16, 1.5), (40, 0.4)), rounds=5),
     Case(name="answers 20 x 10 MB, slow readers", answers=((20, 10.0),), read_mb_per_s=2.0),
+    Case(name="600 x 0.3 MB, 3 rounds", uploads=((600, 0.3),), rounds=3),
+    Case(name="1500 x 0.06 MB, 3 rounds", uploads=((1500, 0.06),), rounds=3),
     Case(
         name="all together",
         routes=3_240,
@@ -85,7 +90,9 @@
 
 async def measure(case: Case, memory_mb: int) -> dict[str, Any]:
     """Run a case and return its figures."""
-    async with running_node(routes=case.routes, work_s=WORK_S, memory_mb=memory_mb) as node:
+    async with running_node(
+        routes=case.routes, work_s=WORK_S, memory_mb=memory_mb, hosts=case.hosts
+    ) as node:
         async with trio.open_nursery() as nursery:
             if case.changes:
                 change = functools.partial(
