Watcher: log why all rows of a source are read again

Cause: the line did not tell a restored store from a history that was discarded. Change: it has the reason of the error, which names both eras after a restore. Before: the new scenario fails on the previous code, as the line has no reason. After: it passes.

--- a/features/node/watch.feature
+++ b/features/node/watch.feature
@@ -28,3 +28,9 @@
     Given a watcher that the coordinator keeps up to date except for the configuration
     When the watcher runs for 3 s
     Then only the configuration was read
+
+  Scenario: a cursor of an earlier era of the store leads to a full read, and the log says why
+    Given a watcher whose store came back from an older copy after the first read of the owners
+    When the watcher runs for 3 s
+    Then the owners were read with the cursors "0, 1, 0, 1"
+    And the reason "its era is 2" is logged for the full read of the owners
--- a/features/steps/node_watch_steps.py
+++ b/features/steps/node_watch_steps.py
@@ -9,9 +9,11 @@
 from behave import given
 from behave import then
 from behave import when
+from structlog.testing import capture_logs
 from trio.testing import MockClock
 
 from acaciasaddle.clock import TrioClock
+from acaciasaddle.errors import HistoryExpiredError
 from acaciasaddle.errors import PlatformUnavailableError
 from acaciasaddle.fleet import ConfigurationChange
 from acaciasaddle.fleet import ConfigurationFeed
@@ -34,6 +36,8 @@
         self.refusing = False
         self.changing_owners = False
         self.registry_error: Exception | None = None
+        self.owners_error: Exception | None = None
+        self.owners_cursors: list[int] = []
 
     async def _call(self, name: str) -> None:
         self.calls[name] += 1
@@ -57,6 +61,10 @@
 
     async def scan(self, prefix: str, *, since: int, wait_s: float = 0.0) -> Scan:
         await self._call("owners")
+        self.owners_cursors.append(since)
+        if since and self.owners_error is not None:
+            error, self.owners_error = self.owners_error, None
+            raise error
         if since and not self.changing_owners:
             await trio.sleep(wait_s)
         return Scan(revision=since + 1, rows=())
@@ -92,6 +100,26 @@
     def changing_owners(context: Any) -> None:
         WatcherSteps._set_up(context).changing_owners = True
 
+    @staticmethod
+    @given("a watcher whose store came back from an older copy after the first read of the owners")
+    def restored(context: Any) -> None:
+        error = HistoryExpiredError("its era is 2", step="store.rows-feed", peer="p")
+        WatcherSteps._set_up(context).owners_error = error
+
+    @staticmethod
+    @then('the owners were read with the cursors "{cursors}"')
+    def owners_cursors(context: Any, cursors: str) -> None:
+        with capture_logs() as context.logs:
+            WatcherSteps._run(context)
+        found = ", ".join(str(since) for since in context.sources.owners_cursors[:4])
+        assert found == cursors, found
+
+    @staticmethod
+    @then('the reason "{reason}" is logged for the full read of the owners')
+    def reason_logged(context: Any, reason: str) -> None:
+        found = [line for line in context.logs if "reading all rows" in line["event"]]
+        assert [(line["source"], line.get("reason")) for line in found] == [("owners", reason)]
+
     @staticmethod
     @given("a watcher that the coordinator keeps up to date except for the configuration")
     def up_to_date(context: Any) -> None:
--- a/src/acaciasaddle/node/_watch.py
+++ b/src/acaciasaddle/node/_watch.py
@@ -71,8 +71,13 @@
                 continue
             try:
                 since = await self._read(since)
-            except HistoryExpiredError:
-                log.info("change history lost, reading all rows", source=self._name, since=since)
+            except HistoryExpiredError as exc:
+                log.info(
+                    "change history lost, reading all rows",
+                    source=self._name,
+                    since=since,
+                    reason=exc.message,
+                )
                 since = 0
                 await trio.sleep(RETRY_S)
                 continue
