Fleet view: entries of an older copy add upstreams, and take or bring back none

Change: the first news of a higher era keeps missing upstreams RETURN_LIMIT_S, as after an outage. An entry that may be from the copy adds an upstream that is not known, but not an incarnation remembered as removed, and replaces nothing known of the same incarnation. News of an earlier era is ignored. is_confirmed tells whether an entry was written in the current era; with ``era`` it is false until the registry has been read in that era.

--- a/features/fleet_view/view.feature
+++ b/features/fleet_view/view.feature
@@ -104,3 +104,9 @@
     Then the granted moves are "4"
     When the owners arrive with version 4
     Then the granted moves are ""
+
+  Scenario: owners of a later era replace those of a higher version, and never the other way round
+    When the owners arrive with version 7
+    And the owners of era 1 arrive with version 7
+    And the owners arrive with version 9
+    Then the owners are of era 1 and version 7
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
 
 from acaciasaddle.fleet._leaving import LeavingIncarnations
+from acaciasaddle.fleet._types import UpstreamIncarnation
+from acaciasaddle.model import era_of
 from acaciasaddle.observe import get_logger
 from acaciasaddle.routing import RouteTable
 
@@ -15,13 +18,13 @@
     from acaciasaddle.clock import Clock
     from acaciasaddle.fleet._types import RegistryChange
     from acaciasaddle.fleet._types import UpstreamEntry
-    from acaciasaddle.fleet._types import UpstreamIncarnation
     from acaciasaddle.keyspace import KeyMap
     from acaciasaddle.routing import Configuration
 
 RETURN_LIMIT_S = 2.2
 """Upstreams that are missing after an outage of the registry are kept for this long. Those whose
-entries expired during the outage return within about 2 s."""
+entries expired during the outage return within about 2 s. So do those that the store lost when it
+came back from an older copy."""
 LEAVING_GRACE_S = 1.0
 """Upstreams serve for 2 s after the first answer that says that they leave. The coordinator moves
 their keys within a report, 0.4 s, and a round, 0.25 s."""
@@ -34,6 +37,15 @@
 log = get_logger("fleet")
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Removal:
+    """A removed incarnation, and the revision and the time at which it was last seen to be."""
+
+    life: UpstreamIncarnation
+    revision: int
+    at: float
+
+
 class FleetView:
     """The newest known state. On every change ``changed`` is set and replaced by a new event.
 
@@ -60,8 +72,9 @@
         # Whether a read of the registry by this host has failed since the last news of it.
         self._reads_failed = False
         self._moving_since: dict[tuple[str, int], float] = {}
-        # Revision and time at which each upstream was last seen to be removed.
-        self._removals: dict[str, tuple[int, float]] = {}
+        self._removals: dict[str, _Removal] = {}
+        # Upstreams whose entry was not written since the store came back from an older copy.
+        self._restored: set[str] = set()
 
     @property
     def complete(self) -> bool:
@@ -85,6 +98,27 @@
         missing = self._missing_since
         return {name: entry for name, entry in self.upstreams.items() if name not in missing}
 
+    @property
+    def restored(self) -> frozenset[str]:
+        """Registered upstreams that the store may only have from its older copy."""
+        if not self._restored:
+            return frozenset()
+        return frozenset(self._restored & self.registered.keys())
+
+    def is_confirmed(self, life: UpstreamIncarnation, *, era: int = 0) -> bool:
+        """Return whether an incarnation is registered, by an entry of the store's current era.
+
+        False also while the registry has not been read in ``era`` or a later one.
+        """
+        entry = self.upstreams.get(life.upstream_id)
+        return (
+            entry is not None
+            and entry.life == life
+            and life.upstream_id not in self._missing_since
+            and life.upstream_id not in self._restored
+            and era_of(self.registry_revision) >= era
+        )
+
     def upstreams_of(self, service: str) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
         return [
@@ -195,9 +229,19 @@
         than ``RETURN_LIMIT_S`` later, if they have not returned. A complete read that is older than
         the newest news removes nothing, since an upstream that it lacks may have joined since. A
         revision of 0 is not known.
+
+        The first news of a new era of the store counts as news after an outage, and news of an
+        earlier era is ignored. An entry that may be from the older copy only adds an upstream that
+        is not known, or shows that a known one drains or has restarted. It does not bring back an
+        incarnation that was removed.
         """
+        era, known_era = era_of(change.revision), era_of(self.registry_revision)
+        if change.revision > 0 and era < known_era:
+            log.info("registry of an earlier era ignored", era=era, known=known_era)
+            return
         now = self._clock.now()
-        after_outage = (
+        new_era = era > known_era and self.registry_read_at is not None
+        after_outage = new_era or (
             self._reads_failed
             and self.registry_read_at is not None
             and now - self.registry_read_at > OUTAGE_S
@@ -206,6 +250,17 @@
         self.registry_read_at = now - age_s
         is_newest = change.revision == 0 or change.revision >= self.registry_revision
         self.registry_revision = max(self.registry_revision, change.revision)
+        restored_before = self.restored
+        if new_era:
+            log.warning(
+                "the store came back from an older copy",
+                era=era,
+                before=known_era,
+                upstreams=len(self.upstreams),
+                written_again=len(change.entries) - len(change.restored),
+            )
+            self._restored = set(self.upstreams)
+            self._missing_since = dict.fromkeys(self._missing_since, now)
         removed = {name for name, entry in change.entries.items() if entry is None}
         if change.complete and is_newest:
             removed |= self.upstreams.keys() - change.entries.keys()
@@ -213,9 +268,14 @@
             log.warning("registry entry not usable", reason=problem)
         changed = False
         for name, entry in change.entries.items():
-            if entry is not None and not self._is_outdated(name, change.revision):
-                changed |= self._missing_since.pop(name, None) is not None
-                changed |= self._put_entry(entry)
+            if entry is None or self._is_outdated(name, change.revision):
+                continue
+            if name not in change.restored:
+                self._restored.discard(name)
+            elif self._is_removed(entry.life, now):
+                continue
+            changed |= self._missing_since.pop(name, None) is not None
+            changed |= self._put_entry(entry, restored=name in change.restored)
         for name in removed & self.upstreams.keys():
             if after_outage:
                 changed |= name not in self._missing_since
@@ -223,7 +283,7 @@
             elif name not in self._missing_since:
                 changed |= self._remove(name, "removed")
         changed |= self._remove_missing(now)
-        if changed:
+        if changed or self.restored != restored_before:
             self._note_registry_change()
 
     def note_registry_read(self, *, age_s: float) -> None:
@@ -256,11 +316,24 @@
 
         The revision is 0 if it is not known.
         """
-        removed_at, _ = self._removals.get(name, (0, 0.0))
-        return 0 < revision < removed_at
+        removal = self._removals.get(name)
+        return removal is not None and 0 < revision < removal.revision
+
+    def _is_removed(self, life: UpstreamIncarnation, now: float) -> bool:
+        """Return whether an incarnation, or a later one of its upstream, was removed recently."""
+        removal = self._removals.get(life.upstream_id)
+        return (
+            removal is not None
+            and life.started_ms <= removal.life.started_ms
+            and now - removal.at < REMOVAL_MEMORY_S
+        )
 
-    def _put_entry(self, entry: UpstreamEntry) -> bool:
+    def _put_entry(self, entry: UpstreamEntry, *, restored: bool) -> bool:
         known = self.upstreams.get(entry.upstream_id)
+        if restored and known is None:
+            self._restored.add(entry.upstream_id)
+        elif restored and known is not None and known.life == entry.life:
+            entry = replace(known, draining=known.draining or entry.draining)
         if known is not None and entry.life.started_ms < known.life.started_ms:
             log.warning("entry of an earlier incarnation ignored", upstream=entry.upstream_id)
             return False
@@ -284,16 +357,18 @@
         return known is None or replace(known, cold_s=entry.cold_s) != entry
 
     def _remove(self, name: str, reason: str) -> bool:
-        if self.upstreams.pop(name, None) is None:
+        entry = self.upstreams.pop(name, None)
+        if entry is None:
             return False
+        self._restored.discard(name)
         log.info("upstream gone", upstream=name, reason=reason)
         now = self._clock.now()
         self._removals = {
-            other: (revision, at)
-            for other, (revision, at) in self._removals.items()
-            if now - at < REMOVAL_MEMORY_S
+            other: removal
+            for other, removal in self._removals.items()
+            if now - removal.at < REMOVAL_MEMORY_S
         }
-        self._removals[name] = (self.registry_revision, now)
+        self._removals[name] = _Removal(life=entry.life, revision=self.registry_revision, at=now)
         return True
 
     def _notify(self) -> None:
