Links: entries of an older copy go along, and a coordinator asks for a newer configuration

A coordinator that started with an older configuration announced it, and none told it of a newer. Change: a registry part names the entries that may be from the copy; they are sent again once they are written again, and all of them in a new era. A host that has read a later era than the coordinator reads for itself. A report has the version of the host's configuration; after OWN_READ_S, a coordinator with a lower one asks one host at a time, whose next report carries it. All new fields come last and have defaults.

--- a/src/acaciasaddle/links/_changes.py
+++ b/src/acaciasaddle/links/_changes.py
@@ -97,20 +97,42 @@
 
 @dataclass(slots=True)
 class RegistryCursor:
-    """The entries of the registry that one host has been sent."""
+    """The entries of the registry that one host has been sent, and the era in which it was."""
 
     sent: Mapping[str, UpstreamEntry] | None = None
-
-    def advance(self, entries: Mapping[str, UpstreamEntry]) -> RegistryPart | None:
-        """Return the changes since the entries last sent, or ``None`` if there are none."""
-        before = self.sent
-        if before is not None and before == entries:
+    restored: frozenset[str] = frozenset()
+    era: int = 0
+
+    def advance(
+        self,
+        entries: Mapping[str, UpstreamEntry],
+        *,
+        restored: frozenset[str] = frozenset(),
+        era: int = 0,
+    ) -> RegistryPart | None:
+        """Return the changes since the entries last sent, or ``None`` if there are none.
+
+        ``restored`` names the entries that may be from the store's older copy. An entry that no
+        longer is one of them is sent again, and all entries are in a new era.
+        """
+        before = self.sent if era == self.era else None
+        if before is not None and before == entries and self.restored == restored:
             return None
-        self.sent = dict(entries)
+        changed = restored ^ self.restored
+        self.sent, self.restored, self.era = dict(entries), restored, era
         if before is None:
-            return RegistryPart(complete=True, entries=list(entries.values()), removed=[])
+            return RegistryPart(
+                complete=True,
+                entries=list(entries.values()),
+                removed=[],
+                restored=sorted(restored),
+            )
+        to_send = [
+            entry for name, entry in entries.items() if before.get(name) != entry or name in changed
+        ]
         return RegistryPart(
             complete=False,
-            entries=[entry for name, entry in entries.items() if before.get(name) != entry],
+            entries=to_send,
             removed=[name for name in before if name not in entries],
+            restored=[entry.upstream_id for entry in to_send if entry.upstream_id in restored],
         )
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -35,6 +35,7 @@
 from acaciasaddle.links._messages import State
 from acaciasaddle.links._messages import decode_configuration
 from acaciasaddle.links._messages import encode_configuration
+from acaciasaddle.model import era_of
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
@@ -65,7 +66,8 @@
 """A new coordinator assumes that all hosts have linked to it after this time. They find it with
 their next poll, within 0.5 s, and link to it within another 0.7 s."""
 OWN_READ_S = 0.7
-"""Time that a host has to read a new configuration itself before it asks the coordinator for it."""
+"""Time that a host has to read a new configuration itself before it asks the coordinator for it, or
+the coordinator asks a host."""
 MAX_AGE_S = 1.6
 """Hosts read from the platform themselves if the coordinator last read the configuration or the
 registry longer ago than this."""
@@ -83,6 +85,8 @@
     registry: RegistryCursor = field(default_factory=RegistryCursor)
     needs_configuration: bool = False
     peers: list[str] = field(default_factory=list)
+    # Whether the host is to send its configuration with its next report.
+    ask: bool = False
     granted: set[tuple[str, int]] = field(default_factory=set)
 
 
@@ -128,6 +132,10 @@
         self._address_by_host: dict[str, str] = {}
         self._peers: list[str] = []
         self._encoded_configuration: tuple[Configuration, msgspec.Raw] | None = None
+        # This host's version that another one is ahead of, and the time ``OWN_READ_S`` after which
+        # a host is asked for its configuration.
+        self._behind: tuple[int, float] | None = None
+        self._configuration_asked_for = False
 
     @property
     def hosts(self) -> int:
@@ -237,6 +245,8 @@
                                 self._send_states, frames, sent, nursery.cancel_scope
                             )
                         sent.needs_configuration |= report.needs_configuration
+                        await self._apply_configuration(report, peer=report.host_id)
+                        sent.ask |= self._asks_for_configuration(report)
                 except (PeerError, trio.TooSlowError) as exc:
                     host_id = sent.host_id if sent else ""
                     log.info("link to host ended", host_id=host_id, reason=str(exc))
@@ -277,6 +287,31 @@
             life = UpstreamIncarnation(upstream_id=upstream_id, started_ms=started_ms)
             self._view.note_leaving(life, told_by=report.host_id)
 
+    def _asks_for_configuration(self, report: Report) -> bool:
+        """Return whether to ask a host for its configuration, which is newer than this host's.
+
+        The store may show an older one for a moment after it came back from an older copy. One host
+        at a time is asked, since a large configuration takes hundreds of kilobytes.
+        """
+        now = self._clock.now()
+        cfg = self._view.configuration
+        version = cfg.version if cfg is not None else 0
+        if report.configuration_version <= version:
+            return False
+        if self._behind is None or self._behind[0] != version:
+            self._behind = version, now
+        if now - self._behind[1] < OWN_READ_S:
+            return False
+        # The state that asks and the report that answers may both wait for the next interval.
+        self._behind = version, now + 2 * INTERVAL_S
+        log.info(
+            "asking a host for its newer configuration",
+            host_id=report.host_id,
+            version=report.configuration_version,
+            own_version=version,
+        )
+        return True
+
     async def _send_states(
         self, frames: FrameStream, sent: _SentState, scope: trio.CancelScope
     ) -> None:
@@ -301,7 +336,11 @@
         registry_age_s = self._age(self._view.registry_read_at)
         if sent.registry_serial != self._view.registry_serial and registry_age_s < MAX_AGE_S:
             sent.registry_serial = self._view.registry_serial
-            registry = sent.registry.advance(self._view.registered)
+            registry = sent.registry.advance(
+                self._view.registered,
+                restored=self._view.restored,
+                era=era_of(self._view.registry_revision),
+            )
         parts: list[OwnersPart] = []
         for service, owners in self._view.owners.items():
             history = self._owner_histories.setdefault(service, OwnersHistory(service=service))
@@ -311,6 +350,7 @@
         granted = self._view.granted - sent.granted
         sent.granted = set(self._view.granted)
         needs_configuration, sent.needs_configuration = sent.needs_configuration, False
+        ask, sent.ask = sent.ask, False
         peers = self._peers if sent.peers != self._peers else []
         sent.peers = self._peers
         return State(
@@ -328,6 +368,7 @@
             peers=peers,
             registry_revision=self._view.registry_revision,
             granted=sorted(granted),
+            needs_configuration=ask,
         )
 
     def _encoded(self, cfg: Configuration | None) -> msgspec.Raw:
@@ -385,10 +426,12 @@
                     found = True
                     self._apply_state(answer, peer=address)
                     await self._apply_configuration(answer, peer=address)
+                    self._configuration_asked_for |= answer.needs_configuration
             except (PeerError, trio.TooSlowError) as exc:
                 log.info("link to the coordinator ended", address=address, reason=str(exc))
             nursery.cancel_scope.cancel()
         self._state_received_at = None
+        self._configuration_asked_for = False
         return found
 
     def _apply_redirect(self, redirect: Redirect, *, peer: str) -> None:
@@ -412,6 +455,8 @@
                     (sample.service, sample.key, sample.upstream_id, round(sample.seconds, 3))
                     for sample in self._take_samples()
                 ]
+                cfg = self._view.configuration
+                asked, self._configuration_asked_for = self._configuration_asked_for, False
                 report = Report(
                     host_id=self._host_id,
                     address=self._address,
@@ -423,6 +468,8 @@
                         (life.upstream_id, life.started_ms)
                         for life in self._view.leaving_to_report()
                     ],
+                    configuration_version=cfg.version if cfg is not None else 0,
+                    configuration=self._encoded(cfg) if asked else NO_CONFIGURATION,
                 )
                 with trio.fail_after(SILENCE_S):
                     await frames.send(report)
@@ -435,7 +482,9 @@
         if self._state_received_at is None:
             log.info("linked to the coordinator", hosts=state.hosts)
         self._state_received_at = self._clock.now()
-        self._state_is_fresh = max(state.configuration_age_s, state.registry_age_s) < MAX_AGE_S
+        self._state_is_fresh = max(
+            state.configuration_age_s, state.registry_age_s
+        ) < MAX_AGE_S and not self._is_of_earlier_era(state)
         self._hosts = max(self._hosts, state.hosts)
         self._peers = state.peers or self._peers
         self._total_busy = state.busy
@@ -460,12 +509,17 @@
         for service, fence in state.granted:
             self._view.note_granted(service, fence)
 
-    async def _apply_configuration(self, state: State, *, peer: str) -> None:
-        """Put the configuration of a state in force, unless this host has read it meanwhile."""
+    def _is_of_earlier_era(self, state: State) -> bool:
+        """Return whether this host has read the registry in a later era than the coordinator."""
+        known = era_of(self._view.registry_revision)
+        return state.registry_revision > 0 and era_of(state.registry_revision) < known
+
+    async def _apply_configuration(self, message: State | Report, *, peer: str) -> None:
+        """Put the configuration of a message in force, unless this host has read it meanwhile."""
         current = self._view.configuration
-        known = current is not None and current.version >= state.configuration_version
-        if not known and state.configuration != NO_CONFIGURATION:
-            cfg = await decode_configuration(state.configuration, peer=peer)
+        known = current is not None and current.version >= message.configuration_version
+        if not known and message.configuration != NO_CONFIGURATION:
+            cfg = await decode_configuration(message.configuration, peer=peer)
             self._view.apply_configuration(cfg)
 
     def _apply_registry(self, part: RegistryPart | None, *, age_s: float, revision: int) -> None:
@@ -475,7 +529,12 @@
             return
         entries: dict[str, UpstreamEntry | None] = dict.fromkeys(part.removed)
         entries.update({entry.upstream_id: entry for entry in part.entries})
-        change = RegistryChange(revision=revision, complete=part.complete, entries=entries)
+        change = RegistryChange(
+            revision=revision,
+            complete=part.complete,
+            entries=entries,
+            restored=frozenset(part.restored),
+        )
         self._view.apply_registry(change, age_s=age_s)
 
     def _needs_configuration(self) -> bool:
--- a/src/acaciasaddle/links/_messages.py
+++ b/src/acaciasaddle/links/_messages.py
@@ -34,6 +34,10 @@
 """The bit of the length prefix that marks a compressed message."""
 
 
+_ENCODER = msgspec.msgpack.Encoder()
+NO_CONFIGURATION = msgspec.Raw(_ENCODER.encode(None))
+
+
 class Report(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
     """A host's samples since its last report, and what it knows and needs now.
 
@@ -41,7 +45,9 @@
     the number of the host's requests in progress at each upstream. ``owners`` maps each service to
     the version of its owners that the host knows. ``needs_configuration`` is true if the host asks
     for the configuration. ``address`` is where the host listens for links. ``leaving`` has the id
-    and the start of the upstreams whose answers say that they leave.
+    and the start of the upstreams whose answers say that they leave. ``configuration_version`` is
+    that of the host's configuration, 0 if it has none. ``configuration`` is encoded like that of a
+    ``State``, and sent once each time that the coordinator asks for it.
     """
 
     host_id: str
@@ -51,6 +57,8 @@
     owners: dict[str, int]
     needs_configuration: bool
     leaving: list[tuple[str, int]] = []
+    configuration_version: int = 0
+    configuration: msgspec.Raw = NO_CONFIGURATION
 
 
 class OwnersPart(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
@@ -66,11 +74,15 @@
 
 
 class RegistryPart(msgspec.Struct, array_like=True, kw_only=True, frozen=True):
-    """All upstreams, or only those changed since the previous part."""
+    """All upstreams, or only those changed since the previous part.
+
+    ``restored`` names those of ``entries`` that may be from the store's older copy.
+    """
 
     complete: bool
     entries: list[UpstreamEntry]
     removed: list[str]
+    restored: list[str] = []
 
 
 class State(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
@@ -87,6 +99,7 @@
     platform has more bandwidth than the coordinator. ``registry_revision`` is
     the revision of the registry as the coordinator last read it, 0 if it is not known. ``granted``
     has the service and the fencing token of moves whose keys were granted since the last state.
+    ``needs_configuration`` is true if the coordinator asks the host for its newer configuration.
     """
 
     member: str
@@ -103,6 +116,7 @@
     peers: list[str]
     registry_revision: int = 0
     granted: list[tuple[str, int]] = []
+    needs_configuration: bool = False
 
 
 class Redirect(msgspec.Struct, array_like=True, tag=True, kw_only=True, frozen=True):
@@ -127,21 +141,19 @@
     limits: CallerLimits
 
 
-_ENCODER = msgspec.msgpack.Encoder()
 _CONFIGURATION_DECODER = msgspec.msgpack.Decoder(_EncodedConfiguration)
 _ROUTE_DECODER = msgspec.msgpack.Decoder(Route)
-NO_CONFIGURATION = msgspec.Raw(_ENCODER.encode(None))
 REPORT_DECODER = msgspec.msgpack.Decoder(Report)
 ANSWER_DECODER = msgspec.msgpack.Decoder(State | Redirect)
 
 
 def encode_configuration(cfg: Configuration) -> msgspec.Raw:
-    """Return a configuration as it is sent in a ``State``."""
+    """Return a configuration as it is sent in a ``State`` or ``Report``."""
     return msgspec.Raw(_ENCODER.encode(cfg))
 
 
 async def decode_configuration(encoded: msgspec.Raw, *, peer: str) -> Configuration:
-    """Return the configuration of a ``State`` that has one. Other tasks run between its routes.
+    """Return the configuration of a message that has one. Other tasks run between its routes.
 
     Raises ``PeerProtocolError`` if it cannot be decoded.
     """
