--- a/features/explain/logs.feature
+++ b/features/explain/logs.feature
@@ -43,3 +43,21 @@
       | b1b2a87930d48bbe | played-unknown | the upstream did not answer | send failed          | connection reset                 |
       | 133a790cab8685a7 | played-late    |                             | rejected by upstream | status=421                       |
       | 133a790cab8685a7 | played-late    |                             | keys move            | target=i-a7bccb0f9b              |
+
+  Scenario: a request failed shortly after the store came back from an older copy
+    When request "aa01" is explained from the logs "restored-node-1"
+    Then the explanation shows "possible cause" with "came back from an older copy 9.5 s before (era 2)"
+
+  Scenario: the dependencies of a host show that its store came back from an older copy
+    When request "aa05" is explained from the logs "restored-node-1"
+    Then the explanation shows "[store] the store came back" with "era=2 before=1"
+
+  Scenario Outline: a request that <what> is not explained by it
+    When request "<request>" is explained from the logs "restored-node-1"
+    Then the explanation does not show "possible cause"
+
+    Examples:
+      | what                  | request |
+      | succeeded             | aa02    |
+      | failed later          | aa03    |
+      | failed elsewhere      | aa04    |
--- a/src/acaciasaddle/cli/_explain.py
+++ b/src/acaciasaddle/cli/_explain.py
@@ -90,6 +90,13 @@
     fields: dict[str, Any] = (
         dict(outcome.fields) if outcome else {"reason": "no outcome was logged"}
     )
+    restore = explanation.restore
+    if restore is not None:
+        seconds = explanation.steps[-1].at - restore.at
+        fields["possible cause"] = (
+            f"the store came back from an older copy {seconds:.1f} s before "
+            f"(era {restore.fields.get('era')})"
+        )
     return {
         **fields,
         "steps": [_format_line(line) for line in explanation.steps],
--- a/src/acaciasaddle/explain/_explanation.py
+++ b/src/acaciasaddle/explain/_explanation.py
@@ -20,7 +20,21 @@
 CLOCK_SKEW_S = 2.0
 """Lines about the upstreams are included up to this long after the outcome, as clocks differ."""
 UPSTREAM_EVENTS = ("[fleet]", "[coordinator] upstream", "[forward] send failed")
-DEPENDENCY_EVENTS = ("[watch]", "[links]", "[node]", "[coordinator] role")
+RESTORE_EVENTS = (
+    "[store] the store came back from an older copy",
+    "[fleet] the store came back from an older copy",
+)
+RESTORE_EFFECT_S = 15.0
+"""After the store came back from an older copy, keys may have no owner until all leases that were
+granted before have ended, 12.65 s, and are then granted again."""
+DEPENDENCY_EVENTS = (
+    "[watch]",
+    "[links]",
+    "[node]",
+    "[store]",
+    "[coordinator] role",
+    *RESTORE_EVENTS,
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,7 +44,8 @@
     ``steps`` are the lines of the request by time, with its outcome last. ``move`` has the lines
     about the latest move of its key, ``upstream`` those about the upstreams that it was sent to,
     and ``dependencies`` those of its host about the store, links to other hosts, the coordinator
-    role and the host itself.
+    role and the host itself. ``restore`` is the line which says that the store came back from an
+    older copy shortly before the request failed, if there is one.
     """
 
     request: str
@@ -38,6 +53,7 @@
     move: tuple[LogLine, ...]
     upstream: tuple[LogLine, ...]
     dependencies: tuple[LogLine, ...]
+    restore: LogLine | None = None
 
     @property
     def outcome(self) -> LogLine | None:
@@ -71,9 +87,27 @@
             ),
         ),
         dependencies=_latest(host_lines, lambda line: line.event.startswith(DEPENDENCY_EVENTS)),
+        restore=_latest_restore(last, host_lines),
     )
 
 
+def _latest_restore(last: LogLine, host_lines: Sequence[LogLine]) -> LogLine | None:
+    """Return the first line of the latest restore that may have made the request fail.
+
+    A request without a status has not been answered.
+    """
+    if last.event == OUTCOME_EVENT and 200 <= last.fields.get("status", 0) < 400:
+        return None
+    found = [
+        line
+        for line in host_lines
+        if line.event in RESTORE_EVENTS and last.at - line.at <= RESTORE_EFFECT_S
+    ]
+    newest = max((line.fields.get("era", 0) for line in found), default=0)
+    latest = [line for line in found if line.fields.get("era", 0) == newest]
+    return min(latest, key=lambda line: (line.at, line.number), default=None)
+
+
 def _latest(lines: Sequence[LogLine], predicate: Callable[[LogLine], bool]) -> tuple[LogLine, ...]:
     found = sorted(filter(predicate, lines), key=lambda line: (line.at, line.number))
     return tuple(found[-MAX_CONTEXT_LINES:])
