Fleet view: an entry of the copy that was held back is used if it stands

Cause: an upstream that lives does not write an entry again that the copy has as it left it. If its incarnation was removed before the restore, hosts that remembered it ignored it from then on, since feeds do not repeat it. Change: the entry is held back and used after REMOVAL_MEMORY_S, unless it is removed or a full read lacks it by then. A known upstream whose removal is still remembered is not held back.

--- a/features/fleet_view/restored.feature
+++ b/features/fleet_view/restored.feature
@@ -48,6 +48,35 @@
     And after 31 s the registry at 1:1 has "u1*, u2*, u3*"
     Then the view has "u1, u2, u3"
 
+  Scenario Outline: an entry of the copy that is held back is used if it stands, <what>
+    When after 0.5 s the registry at 0:2 has "u1, u3"
+    And after 1 s the registry at 1:1 has "u1*, u2*, u3*"
+    And after 28 s the registry at 1:2 changes to "<change>"
+    Then the view has "u1, u3"
+    When after 2 s the registry is reported unchanged
+    Then the view has "<upstreams>"
+
+    Examples:
+      | what                           | change | upstreams  |
+      | as its upstream lives          | u1     | u1, u2, u3 |
+      | and not if it expires          | -u2    | u1, u3     |
+
+  Scenario: an upstream that was removed and is back stays when the copy has it as well
+    When after 0.5 s the registry at 0:2 has "u1, u3"
+    And after 1 s the registry at 0:3 changes to "u2"
+    And after 1 s the registry at 1:1 has "u1*, u3*"
+    And after 1 s the registry at 2:1 has "u1*, u2*, u3*"
+    And after 3 s the registry at 2:2 has "u1*, u2*, u3*"
+    Then the view has "u1, u2, u3"
+    And other hosts are told of "u1, u2, u3"
+
+  Scenario: an entry of the copy that is held back is forgotten if a full read lacks it
+    When after 0.5 s the registry at 0:2 has "u1, u3"
+    And after 1 s the registry at 1:1 has "u1*, u2*, u3*"
+    And after 1 s the registry at 1:2 has "u1*, u3*"
+    And after 31 s the registry is reported unchanged
+    Then the view has "u1, u3"
+
   Scenario: a later incarnation than the one that was removed is used
     When after 0.5 s the registry at 0:2 has "u1, u3"
     And after 1 s the registry at 1:1 has "u1*, u2 of 9*, u3*"
--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -75,6 +75,8 @@
         self._removals: dict[str, _Removal] = {}
         # Upstreams whose entry was not written since the store came back from an older copy.
         self._restored: set[str] = set()
+        # Entries of the copy that are not used, since their incarnations were removed before.
+        self._held_back: dict[str, UpstreamEntry] = {}
 
     @property
     def complete(self) -> bool:
@@ -233,7 +235,8 @@
         The first news of a new era of the store counts as news after an outage, and news of an
         earlier era is ignored. An entry that may be from the older copy only adds an upstream that
         is not known, or shows that a known one drains or has restarted. It does not bring back an
-        incarnation that was removed.
+        incarnation that was removed, unless it stands for ``REMOVAL_MEMORY_S``: an upstream that
+        lives does not write an entry again that is as it left it, and that of another one expires.
         """
         era, known_era = era_of(change.revision), era_of(self.registry_revision)
         if change.revision > 0 and era < known_era:
@@ -264,15 +267,20 @@
         removed = {name for name, entry in change.entries.items() if entry is None}
         if change.complete and is_newest:
             removed |= self.upstreams.keys() - change.entries.keys()
+            self._held_back.clear()
         for problem in change.problems:
             log.warning("registry entry not usable", reason=problem)
         changed = False
         for name, entry in change.entries.items():
-            if entry is None or self._is_outdated(name, change.revision):
+            if entry is not None and self._is_outdated(name, change.revision):
+                continue
+            self._held_back.pop(name, None)
+            if entry is None:
                 continue
             if name not in change.restored:
                 self._restored.discard(name)
-            elif self._is_removed(entry.life, now):
+            elif name not in self.upstreams and self._is_removed(entry.life, now):
+                self._held_back[name] = entry
                 continue
             changed |= self._missing_since.pop(name, None) is not None
             changed |= self._put_entry(entry, restored=name in change.restored)
@@ -283,6 +291,7 @@
             elif name not in self._missing_since:
                 changed |= self._remove(name, "removed")
         changed |= self._remove_missing(now)
+        changed |= self._use_held_back(now)
         if changed or self.restored != restored_before:
             self._note_registry_change()
 
@@ -291,7 +300,9 @@
         now = self._clock.now()
         self._reads_failed = False
         self.registry_read_at = now - age_s
-        if self._remove_missing(now):
+        changed = self._remove_missing(now)
+        changed |= self._use_held_back(now)
+        if changed:
             self._note_registry_change()
 
     def note_registry_failure(self) -> None:
@@ -307,6 +318,15 @@
                 changed |= self._remove(name, "did not return after an outage of the registry")
         return changed
 
+    def _use_held_back(self, now: float) -> bool:
+        """Use entries that were held back for long enough; return whether there are any."""
+        changed = False
+        for name, entry in list(self._held_back.items()):
+            if not self._is_removed(entry.life, now):
+                del self._held_back[name]
+                changed |= self._put_entry(entry, restored=True)
+        return changed
+
     def _note_registry_change(self) -> None:
         self.registry_serial += 1
         self._notify()
