Tests: floors of two restores, cursors as sent, versions that reach into the era

Not covered: the limit of 100 removed rows in one transaction. The close of a connection after an ignored answer is not seen by its count, as such a connection is not reused in any case.

--- a/features/steps/platform_restored_steps.py
+++ b/features/steps/platform_restored_steps.py
@@ -141,6 +141,11 @@
     def called(context: Any, count: int) -> None:
         assert len(context.store.requests) == count, context.store.requests
 
+    @staticmethod
+    @then("no connection was used after an answer that was ignored, of {count:d}")
+    def connections(context: Any, count: int) -> None:
+        assert context.store.connections == count, context.store.connections
+
     @staticmethod
     @then('{restores:d} restore and the ignored answers "{reasons}" are counted')
     @then('{restores:d} restores and the ignored answers "{reasons}" are counted')
--- a/features/users_platform/restored_store.feature
+++ b/features/users_platform/restored_store.feature
@@ -48,6 +48,7 @@
       | write a if 3:30 | WriteOutcomeUnknownError |
       | scan           | at 3:32 a=3:32           |
     And 0 restores and the ignored answers "<reason> <reason>" are counted
+    And no connection was used after an answer that was ignored, of 3
 
     Examples:
       | era          | reason  |
@@ -121,6 +122,20 @@
       | call | outcome                  |
       | scan | PlatformUnavailableError |
 
+  Scenario Outline: the version <ver> would reach into the era, so it is refused
+    Given the store answers in its eras
+      | era | status | ver   | rows |
+      | 1   | 200    | <ver> |      |
+    Then the calls end as
+      | call           | outcome                  |
+      | scan           | PlatformUnavailableError |
+      | write a if 0:0 | WriteOutcomeUnknownError |
+
+    Examples:
+      | ver           |
+      | -1            |
+      | 1099511627776 |
+
   Scenario: entries that may be from the copy are named until they are written again
     Given the store answers in its eras
       | era | status | ver | rows        |
@@ -128,12 +143,21 @@
       | 2   | 200    | 25  | u1=20 u2=25 |
       | 2   | 200    | 26  | u1=26       |
       | 2   | 200    | 26  | u1=26 u2=25 |
+      | 3   | 200    | 24  | u1=20 u2=24 |
     Then the calls end as
       | call          | outcome                 |
       | entries       | u1 u2 restored          |
       | entries       | u1 u2 restored u1 u2    |
       | entries 2:25  | u1 restored             |
       | entries       | u1 u2 restored u2       |
+      | entries       | u1 u2 restored u1 u2    |
+    And the targets of the calls are
+      | target                                                   |
+      | /acaciasaddle/rows-get?table=servers&part=&limit=500     |
+      | /acaciasaddle/rows-get?table=servers&part=&limit=500     |
+      | /acaciasaddle/rows-feed?table=servers&after=25&waitMs=0  |
+      | /acaciasaddle/rows-get?table=servers&part=&limit=500     |
+      | /acaciasaddle/rows-get?table=servers&part=&limit=500     |
 
   Scenario: without the header, calls and rows are those of a store without eras
     Given the store answers in its eras
