--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -12,17 +12,15 @@
 from behave import then
 from behave import when
 from features.support.large_key_map import large_key_map
+from features.support.linked_hosts import make_links
 
 from acaciasaddle.clock import TrioClock
-from acaciasaddle.emulator._fleet import reserve_port
 from acaciasaddle.errors import PeerError
 from acaciasaddle.errors import PeerProtocolError
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.fleet import UpstreamEntry
 from acaciasaddle.fleet import UpstreamIncarnation
-from acaciasaddle.keyspace import LoadHistory
-from acaciasaddle.links import Links
 from acaciasaddle.links._changes import OwnersHistory
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._changes import apply_part
@@ -236,20 +234,6 @@
         assert context.sent_bytes <= max_bytes, context.sent_bytes
 
 
-class _FakeCoordinator:
-    """Replaces the coordinator of one host."""
-
-    def __init__(self, *, leading: bool) -> None:
-        self.leading = leading
-        self.role_version = 1
-        self.role_age_s = 0.1
-        self.coordinator_address = ""
-        self.holder = "h0@1"
-
-    def note_role(self, *, member: str, address: str, version: int, age_s: float) -> None:
-        """Do nothing: no scenario depends on the noted role."""
-
-
 class LinkedHostsSteps:
     """Guards against a configuration that a host neither reads itself nor gets over its link."""
 
@@ -286,24 +270,8 @@
         async def main() -> tuple[bool, int]:
             clock = TrioClock(wall_offset=0.0)
             newer, older = context.link_versions
-            ports = [reserve_port(), reserve_port()]
-            links = []
             views = [LinkedHostsSteps._view(clock, version) for version in (newer, older)]
-            for index, view in enumerate(views):
-                coordinator: Any = _FakeCoordinator(leading=index == 0)
-                coordinator.coordinator_address = f"127.0.0.1:{ports[0]}"
-                links.append(
-                    Links(
-                        host_id=f"h{index}",
-                        address=f"127.0.0.1:{ports[index]}",
-                        view=view,
-                        coordinator=coordinator,
-                        load=LoadHistory(),
-                        clock=clock,
-                        take_samples=list,
-                        busy=dict,
-                    )
-                )
+            links = make_links(views, clock)
             async with trio.open_nursery() as nursery:
                 for link in links:
                     await nursery.start(link.run)
--- a/features/steps/links_restored_steps.py
+++ b/features/steps/links_restored_steps.py
@@ -9,19 +9,17 @@
 from behave import given
 from behave import then
 from behave import when
+from features.support.linked_hosts import make_links
 from features.support.older_build import OldRegistryPart
 from features.support.older_build import OldReport
 from features.support.older_build import OldState
 from structlog.testing import capture_logs
 
 from acaciasaddle.clock import TrioClock
-from acaciasaddle.emulator._fleet import reserve_port
 from acaciasaddle.fleet import FleetView
 from acaciasaddle.fleet import RegistryChange
 from acaciasaddle.fleet import UpstreamEntry
 from acaciasaddle.fleet import UpstreamIncarnation
-from acaciasaddle.keyspace import LoadHistory
-from acaciasaddle.links import Links
 from acaciasaddle.links._changes import RegistryCursor
 from acaciasaddle.links._messages import ANSWER_DECODER
 from acaciasaddle.links._messages import NO_CONFIGURATION
@@ -52,47 +50,19 @@
     return entries, frozenset(name.rstrip("*") for name in names if name.endswith("*"))
 
 
-class _FakeCoordinator:
-    """Replaces the coordinator of one host."""
-
-    def __init__(self, *, leading: bool, address: str) -> None:
-        self.leading = leading
-        self.role_version = 1
-        self.role_age_s = 0.1
-        self.coordinator_address = address
-        self.holder = "h0@1"
-
-    def note_role(self, *, member: str, address: str, version: int, age_s: float) -> None:
-        """Do nothing: no scenario depends on the noted role."""
-
-
 class _LinkedHosts:
     """A coordinator, which is the first host, and other hosts. They run while a step does."""
 
     def __init__(self, *, versions: list[int]) -> None:
         clock = TrioClock(wall_offset=0.0)
-        ports = [reserve_port() for _ in versions]
         self._steps: list[tuple[FleetView, RegistryChange] | float] = []
         self.views = [FleetView(clock=clock) for _ in versions]
-        self.links = []
-        for index, (view, version) in enumerate(zip(self.views, versions, strict=True)):
+        self.links = make_links(self.views, clock)
+        for view, version in zip(self.views, versions, strict=True):
             self._steps.append((view, RegistryChange(revision=0, complete=True, entries={})))
             view.apply_configuration(
                 Configuration(version=version, routes=(), services={}, limits=CallerLimits())
             )
-            coordinator: Any = _FakeCoordinator(leading=index == 0, address=f"127.0.0.1:{ports[0]}")
-            self.links.append(
-                Links(
-                    host_id=f"h{index}",
-                    address=f"127.0.0.1:{ports[index]}",
-                    view=view,
-                    coordinator=coordinator,
-                    load=LoadHistory(),
-                    clock=clock,
-                    take_samples=list,
-                    busy=dict,
-                )
-            )
 
     def note_registry(self, view: FleetView, text: str, revision: str) -> None:
         era, _, version = revision.partition(":")
