--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -219,12 +219,17 @@
             await trio.sleep(max(MIN_PAUSE_S, min(ROLE_POLL_S, wait_s)))
             return
         started = self._clock.now()
+        is_first = self._role.version == 0
         previous = await self._role.try_take()
         if previous is None:
             return
         is_last_holder, self._role.is_last_holder = self._role.is_last_holder, False
         await self._load_owners(taken_at=started, vacant=not previous)
-        self._begin_era(is_last_holder=is_last_holder)
+        if self._role.was_written_earlier:
+            # The store was restored after the role was taken; these owners are not those of it.
+            self._role.reset()
+            return
+        self._begin_era(taken_at=started, is_first=is_first, is_last_holder=is_last_holder)
         self._role.taken = True
         log.info("role taken", previous=previous, version=self._role.version)
 
@@ -244,15 +249,20 @@
             also={span.owner for _, span in claimed},
         )
 
-    def _begin_era(self, *, is_last_holder: bool) -> None:
-        """Decide which keys may be granted or claimed after the store came back from a copy."""
+    def _begin_era(self, *, taken_at: float, is_first: bool, is_last_holder: bool) -> None:
+        """Decide which keys may be granted or claimed after the store came back from a copy.
+
+        ``is_first`` is true if nobody had the role before in this era. Another holder may have
+        claimed keys until its role lapsed, without writing that their owners accepted.
+        """
         known, self._known_owners, self._claims = self._known_owners, None, None
         self._quiet_until = None
         restored_at = self._role.restored_at
         if restored_at is None:
             return
-        quiet_until = restored_at + quiet_s(self._max_lease_s)
-        if self._clock.now() < quiet_until or self._role.earlier_rows:
+        quiet_since = restored_at if is_first else max(restored_at, taken_at)
+        quiet_until = quiet_since + quiet_s(self._max_lease_s)
+        if self._clock.now() < restored_at + quiet_s(self._max_lease_s) or self._role.earlier_rows:
             self._quiet_until = quiet_until
         if (
             known is not None
--- a/src/acaciasaddle/keyspace/_role.py
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -99,10 +99,15 @@
         """The host that has the role, as far as known: ``<host id>@<incarnation>``."""
         return str(self._value.get("member", ""))
 
+    @property
+    def was_written_earlier(self) -> bool:
+        """Whether the store came back from an older copy since the row was last seen."""
+        return era_of(self.version) != self._table.era
+
     @property
     def is_of_earlier_era(self) -> bool:
         """Whether the store came back from an older copy since this host took the role."""
-        return self.taken and era_of(self.version) != self._table.era
+        return self.taken and self.was_written_earlier
 
     @property
     def earlier_rows(self) -> bool:
