--- a/src/acaciasaddle/callers/_listener.py
+++ b/src/acaciasaddle/callers/_listener.py
@@ -12,6 +12,7 @@
 from acaciasaddle.forward import PlannedStop
 from acaciasaddle.kernel import Service
 from acaciasaddle.kernel import open_listening_socket
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import describe_error
 from acaciasaddle.observe import get_logger
@@ -20,6 +21,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from acaciasaddle.callers._connection import ReadBodyTerms
     from acaciasaddle.forward import CallerRequest
     from acaciasaddle.forward import CallerResponse
     from acaciasaddle.observe import Metrics
@@ -30,8 +32,8 @@
 WAITING_CONNECTION_S = 0.01
 """A server that stops takes its queue of new connections for empty if none comes for this long."""
 ACCEPT_REST_S = 1.0
-"""Longest time for which a server that stops accepts the connections that wait for it. A busy one
-takes some milliseconds for each; those that still wait at the end are reset."""
+"""Time for which a server that stops accepts connections until none waits for it. After that, it
+only accepts those that wait already, and no more than ``BACKLOG``."""
 LAST_REQUEST_S = 0.2
 """Time in which a connection that was accepted last can send its request."""
 
@@ -52,8 +54,17 @@
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest], Awaitable[CallerResponse]],
         metrics: Metrics | None = None,
+        memory: MemoryBound | None = None,
+        body_terms: ReadBodyTerms | None = None,
     ) -> None:
+        """Create a server.
+
+        ``memory`` bounds the bodies of requests. ``body_terms`` returns the terms of a request with
+        a large body from its target, its header fields and the time at which its head was read.
+        """
         self._metrics = metrics or NullMetrics()
+        self._memory = memory or MemoryBound()
+        self._body_terms = body_terms
         self._address = address
         self._limits = limits
         self._handle = handle
@@ -106,8 +117,7 @@
                 with self._accepting:
                     while True:
                         await self._accept(sock, nursery)
-                with trio.move_on_after(ACCEPT_REST_S):
-                    await self._accept_waiting(sock, nursery)
+                await self._accept_waiting(sock, nursery)
             await trio.sleep(LAST_REQUEST_S)
             for conn in self._connections:
                 conn.close_soon()
@@ -118,25 +128,36 @@
 
         The last check that none waits and the close by the caller of this method are one step.
         """
-        while True:
-            with trio.move_on_after(WAITING_CONNECTION_S) as scope:
-                await self._accept(sock, nursery)
-            if scope.cancelled_caught and not has_input(sock):
+        with trio.move_on_after(ACCEPT_REST_S):
+            while True:
+                with trio.move_on_after(WAITING_CONNECTION_S) as scope:
+                    await self._accept(sock, nursery)
+                if scope.cancelled_caught and not has_input(sock):
+                    return
+        for _ in range(BACKLOG):
+            if not has_input(sock) or not await self._accept(sock, nursery):
                 return
 
-    async def _accept(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+    async def _accept(self, sock: trio.socket.SocketType, nursery: trio.Nursery) -> bool:
+        """Accept a connection and serve it in a task of its own; return whether that succeeded."""
         try:
             accepted, _ = await sock.accept()
         except OSError as exc:
             log.warning("cannot accept connection", reason=str(exc))
             await trio.sleep(ACCEPT_RETRY_S)
-            return
+            return False
         nursery.start_soon(self._serve_connection, accepted)
+        return True
 
     async def _serve_connection(self, sock: trio.socket.SocketType) -> None:
         stream = trio.SocketStream(sock)
         conn = CallerConnection(
-            stream=stream, limits=self._limits, handle=self._handle, metrics=self._metrics
+            stream=stream,
+            limits=self._limits,
+            handle=self._handle,
+            metrics=self._metrics,
+            memory=self._memory,
+            body_terms=self._body_terms,
         )
         conn.close_after_next = self._closing
         self._connections.add(conn)
@@ -183,17 +204,18 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def announce_stop(self) -> PlannedStop:
+    def announce_stop(self, *, signalled_after: float | None = None) -> PlannedStop:
         """Report not ready, and announce to callers' connections that they are to close.
 
-        Return the stop, which begins with the first announcement. The stop of other services is
-        part of the grace time.
+        Return the stop, which begins with the first announcement, or at ``signalled_after`` on
+        trio's clock if the signal may have come that early. The stop of other services is part of
+        the grace time.
         """
         if self._planned_stop is None:
             self.draining = True
-            now = trio.current_time()
+            began_at = trio.current_time() if signalled_after is None else signalled_after
             self._planned_stop = PlannedStop(
-                announced_at=now, ends_at=now + self._grace_s - EXIT_MARGIN_S
+                announced_at=began_at, ends_at=began_at + self._grace_s - EXIT_MARGIN_S
             )
             self._callers.announce_close()
         return self._planned_stop
@@ -206,6 +228,9 @@
         self._callers.close_idle()
         with trio.move_on_at(stop.ends_at):
             await self._callers.wait_until_ended()
+        # A busy process sees this end late, and in the same step responses that are ready since.
+        with trio.move_on_after(LAST_RESPONSES_S):
+            await self._callers.wait_until_ended()
         log.info(
             "listener stopped",
             open=self._callers.open_connections,
@@ -217,4 +242,7 @@
 """The listener stops accepting requests this long before the end of the grace time, or halfway
 through it if that is later. Requests that might not finish by then are refused before."""
 EXIT_MARGIN_S = 0.4
-"""The listener stops waiting for open connections this long before the end of the grace time."""
+"""The listener stops waiting for requests in progress this long before the end of the grace
+time."""
+LAST_RESPONSES_S = 0.1
+"""Time after that in which responses that are ready are still sent."""
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -57,6 +57,12 @@
     default=0,
     help="Times that the store is away and comes back from a copy that is 0.5 to 8 s old.",
 )
+@click.option(
+    "--open-upstreams",
+    type=click.IntRange(0, 100),
+    default=0,
+    help="Upstreams of a service without keys, which half of the requests go to.",
+)
 @click.option(
     "--slow-share",
     type=click.FloatRange(0, 1),
@@ -100,6 +106,7 @@
     routes: int,
     resting_callers: int,
     restores: int,
+    open_upstreams: int,
     slow_share: float,
     pause_share: float,
     quiet_leave: float,
@@ -129,6 +136,7 @@
             routes=routes,
             resting_callers=resting_callers,
             restores=restores,
+            open_upstreams=open_upstreams,
             slow_share=slow_share,
             slots=slots,
             pause_share=pause_share,
