--- a/src/acaciasaddle/emulator/soak/_restores.py
+++ b/src/acaciasaddle/emulator/soak/_restores.py
@@ -26,8 +26,8 @@
     """What followed one restore.
 
     ``unowned_s`` has the time without an owner of each sampled key that had none for more than
-    ``MIN_UNOWNED_S``, from the moment the store was away. ``outcomes`` counts the requests with
-    a key that began within ``COUNTED_S`` of its return, ``store_calls`` the calls that it got in this time.
+    ``MIN_UNOWNED_S``, from the moment the store was away. ``outcomes`` counts the requests with a
+    key that began within ``COUNTED_S`` of its return, ``store_calls`` the store's calls then.
     """
 
     age_s: float
