--- a/src/acaciasaddle/table/_api.py
+++ b/src/acaciasaddle/table/_api.py
@@ -68,9 +68,9 @@
         """
 
     async def drop_earlier_rows(self, prefix: str) -> int:
-        """Remove the rows with this prefix that were written in earlier eras; return their number.
+        """Remove rows of earlier eras from the table of a prefix, with the errors of a write.
 
-        Raises the errors of a write.
+        Return how many were removed in this transaction. A large table needs several calls.
         """
         return 0
 
