--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -168,11 +168,6 @@
         told_at = self._leaving.told_at(entry.life)
         return told_at is not None and self._clock.now() - told_at < LEAVING_GRACE_S
 
-    def is_confirmed(self, life: UpstreamIncarnation) -> bool:
-        """Return whether an incarnation is registered."""
-        entry = self.upstreams.get(life.upstream_id)
-        return entry is not None and entry.life == life
-
     def apply_configuration(self, cfg: Configuration) -> None:
         """Put a configuration in force if it is newer than the one in force."""
         current = self.configuration
--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -262,6 +262,7 @@
         ):
             self._claims = Claims(
                 known=known,
+                era=self._table.era,
                 restored_at=restored_at,
                 leases=self._leases,
                 view=self._view,
--- a/src/acaciasaddle/keyspace/_restore.py
+++ b/src/acaciasaddle/keyspace/_restore.py
@@ -104,6 +104,7 @@
         self,
         *,
         known: KnownOwners,
+        era: int,
         restored_at: float,
         leases: LeaseManager,
         view: FleetView,
@@ -111,6 +112,7 @@
     ) -> None:
         self._waiting = list(known.spans)
         self.written_at = known.written_at
+        self._era = era
         self._leases = leases
         self._view = view
         self._clock = clock
@@ -135,7 +137,7 @@
                     if (
                         entry is not None
                         and entry.address == owner.address
-                        and self._view.is_confirmed(owner.incarnation)
+                        and self._view.is_confirmed(owner.incarnation, era=self._era)
                     ):
                         nursery.start_soon(self._claim_from, owner, spans)
 
--- a/src/acaciasaddle/keyspace/_role.py
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -36,6 +36,8 @@
 HEAD_START_S = 1.0
 """Time for which hosts leave the role in a restored store to its last holder, which alone knows who
 may hold which keys."""
+FIRST_ERA = 1
+"""A store that never came back from a copy has no higher era."""
 STEP_DOWN_S = 5.0
 """Time for which a host does not compete for the role after it stepped down."""
 
@@ -264,8 +266,10 @@
 
         If these change, a host that does not know eras may still have the role.
         """
+        # A copy from before the first write has no rows of an earlier era.
+        may_be_restored = self._era is None and self._table.era > FIRST_ERA
         self._note_era(self._table.era)
-        if scan.earlier_revision > self._earlier_revision:
+        if may_be_restored or scan.earlier_revision > self._earlier_revision:
             self.restored_at = self._clock.now()
         self._earlier_revision = scan.earlier_revision
 
