--- a/src/acaciasaddle/keyspace/_coordinator.py
+++ b/src/acaciasaddle/keyspace/_coordinator.py
@@ -32,7 +32,7 @@
 from acaciasaddle.keyspace._grants import LeaseManager
 from acaciasaddle.keyspace._leases import lease_end
 from acaciasaddle.keyspace._restore import Claims
-from acaciasaddle.keyspace._restore import KnownOwners
+from acaciasaddle.keyspace._restore import KnownSpan
 from acaciasaddle.keyspace._restore import claim_limit_s
 from acaciasaddle.keyspace._restore import first_map
 from acaciasaddle.keyspace._restore import quiet_s
@@ -137,7 +137,7 @@
         self._joined_at: dict[str, float] = {}
         self._started_moves: set[tuple[str, int]] = set()
         self._stopping = False
-        self._known_owners: KnownOwners | None = None
+        self._known_spans: list[KnownSpan] = []
         self._claims: Claims | None = None
         self._quiet_until: float | None = None
         # Returns whether a link reports the row of the role, which is then not polled.
@@ -238,30 +238,26 @@
         self._started_moves.clear()
         # The previous coordinator may have granted the longest leases until its role lapsed.
         lapse_s = 0.0 if vacant else ROLE_LEASE_S
-        claimed = self._known_owners.spans if self._known_owners is not None else []
         self._leases.reset(
             held_until=lease_end(taken_at + lapse_s + ORDER_TIMEOUT_S, self._max_lease_s),
-            also={span.owner for _, span in claimed},
+            also={known.span.owner for known in self._known_spans},
         )
 
     def _begin_era(self, *, is_last_holder: bool) -> None:
         """Decide which keys may be granted or claimed after the store came back from a copy."""
-        known, self._known_owners, self._claims = self._known_owners, None, None
-        self._quiet_until = None
+        spans, self._known_spans = self._known_spans, []
+        self._claims = self._quiet_until = None
         restored_at = self._role.restored_at
         if restored_at is None:
             return
         quiet_until = restored_at + quiet_s(self._max_lease_s)
         if self._clock.now() < quiet_until or self._role.earlier_rows:
             self._quiet_until = quiet_until
-        if (
-            known is not None
-            and is_last_holder
-            and not self._owners
-            and restored_at < known.written_at + claim_limit_s(self._max_lease_s)
-        ):
+        limit_s = claim_limit_s(self._max_lease_s)
+        claimable = [known for known in spans if restored_at < known.written_at + limit_s]
+        if claimable and is_last_holder and not self._owners:
             self._claims = Claims(
-                known=known,
+                known=claimable,
                 era=self._table.era,
                 restored_at=restored_at,
                 leases=self._leases,
@@ -349,17 +345,22 @@
         owners = dict(self._owners)
         for move in self._completed_moves:
             owners[move.service] = _complete_move(owners[move.service], move.span)
-        spans = [
+        settled = [
             (service, span)
             for service, value in owners.items()
             for span in value.spans
             if not span.moving
         ]
+        if self._claims is not None:
+            settled += self._claims.accepted
         written_at = self._clock.now() - self._role.since_write_s
+        spans = [
+            KnownSpan(service=service, span=span, written_at=written_at)
+            for service, span in settled
+        ]
         if self._claims is not None:
             spans += self._claims.waiting
-            written_at = min(written_at, self._claims.written_at)
-        self._known_owners = KnownOwners(written_at=written_at, spans=spans)
+        self._known_spans = spans
         self._role.is_last_holder = True
         log.warning("role lapsed before the store came back from an older copy", spans=len(spans))
 
--- a/src/acaciasaddle/keyspace/_restore.py
+++ b/src/acaciasaddle/keyspace/_restore.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -85,16 +84,17 @@
     return KeyMap(spans=tuple(spans), fence=fence, version=0)
 
 
-@dataclass(slots=True, kw_only=True)
-class KnownOwners:
-    """The owners that the last holder of the role knew when it lapsed.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownSpan:
+    """Keys whose owner the last holder of the role knew when it lapsed.
 
-    ``written_at`` is the start of its last successful write. ``spans`` has the service and the span
-    of keys that have not been claimed yet.
+    ``written_at`` is the start of its last successful write as their coordinator. For keys that it
+    claimed in vain after an earlier restore, that was before this restore.
     """
 
+    service: str
+    span: Span
     written_at: float
-    spans: list[tuple[str, Span]] = field(default_factory=list)
 
 
 class Claims:
@@ -103,33 +103,37 @@
     def __init__(
         self,
         *,
-        known: KnownOwners,
+        known: Collection[KnownSpan],
         era: int,
         restored_at: float,
         leases: LeaseManager,
         view: FleetView,
         clock: Clock,
     ) -> None:
-        self._waiting = list(known.spans)
-        self.written_at = known.written_at
+        self._waiting = list(known)
         self._era = era
         self._leases = leases
         self._view = view
         self._clock = clock
         self._write_at = restored_at + CLAIMS_WITHIN_S
-        self._accepted: list[tuple[str, Span]] = []
-        self._added: list[tuple[str, Span]] = []
+        self._accepted: list[KnownSpan] = []
+        self._added: list[KnownSpan] = []
 
     @property
-    def waiting(self) -> list[tuple[str, Span]]:
+    def waiting(self) -> list[KnownSpan]:
         """The spans that have neither been accepted nor refused."""
-        return [*self._waiting, *self._accepted]
+        return list(self._waiting)
+
+    @property
+    def accepted(self) -> list[tuple[str, Span]]:
+        """The service and the keys of accepted spans that have not been written yet."""
+        return [(known.service, known.span) for known in self._accepted]
 
     async def claim(self) -> None:
         """Claim the keys of all upstreams that have written their entries in this era."""
-        by_owner: dict[Owner, list[tuple[str, Span]]] = {}
-        for service, span in self._waiting:
-            by_owner.setdefault(span.owner, []).append((service, span))
+        by_owner: dict[Owner, list[KnownSpan]] = {}
+        for known in self._waiting:
+            by_owner.setdefault(known.span.owner, []).append(known)
         with trio.move_on_after(CLAIM_ROUND_S):
             async with trio.open_nursery() as nursery:
                 for owner, spans in by_owner.items():
@@ -141,8 +145,9 @@
                     ):
                         nursery.start_soon(self._claim_from, owner, spans)
 
-    async def _claim_from(self, owner: Owner, spans: list[tuple[str, Span]]) -> None:
-        for service, span in spans:
+    async def _claim_from(self, owner: Owner, spans: list[KnownSpan]) -> None:
+        for known in spans:
+            service, span = known.service, known.span
             try:
                 await self._leases.claim(span)
             except (FencedError, ReplacedError) as exc:
@@ -151,8 +156,8 @@
                 log.info("claim failed", reason=str(exc), fence=span.fence, service=service)
                 return
             else:
-                self._accepted.append((service, span))
-            self._waiting.remove((service, span))
+                self._accepted.append(known)
+            self._waiting.remove(known)
 
     def add_to(self, owners: Mapping[str, KeyMap], *, era: int) -> dict[str, KeyMap]:
         """Return the owners with the accepted spans, once these can be written.
@@ -164,7 +169,7 @@
         if self._waiting and self._clock.now() < self._write_at:
             return result
         self._added = list(self._accepted)
-        for service, span in self._accepted:
+        for service, span in self.accepted:
             current = result.get(service, first_map(era))
             result[service] = current.replaced(span.keys, [span], fence=current.fence)
         return result
