Fleet view: an entry of the copy that stands is confirmed

Cause: a host that first reads the registry of a new era after the upstreams have written again takes all entries for those of the copy, and unchanged ones are not written again.

--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -30,6 +30,9 @@
 their keys within a report, 0.4 s, and a round, 0.25 s."""
 REMOVAL_MEMORY_S = 30.0
 """A removal is remembered for this long. Links report what was read a few seconds ago at most."""
+STANDS_S = 3.6
+"""An entry of an older copy that is still there this long after the store's return is of an
+upstream that lives: others expire after three intervals of 1 s, and polls see it 0.6 s later."""
 OUTAGE_S = 1.5
 """A registry is taken to have had an outage if it was not read for this long and this host's own
 reads failed meanwhile. In a shorter one no entry expires, since upstreams may miss two reports."""
@@ -73,6 +76,7 @@
         self._reads_failed = False
         self._moving_since: dict[tuple[str, int], float] = {}
         self._removals: dict[str, _Removal] = {}
+        self._restored_at: float | None = None
         # Upstreams whose entry was not written since the store came back from an older copy.
         self._restored: set[str] = set()
         # Entries of the copy that are not used, since their incarnations were removed before.
@@ -110,17 +114,23 @@
     def is_confirmed(self, life: UpstreamIncarnation, *, era: int = 0) -> bool:
         """Return whether an incarnation is registered, by an entry of the store's current era.
 
-        False also while the registry has not been read in ``era`` or a later one.
+        An entry of the older copy counts once it has stood for ``STANDS_S``. False also while the
+        registry has not been read in ``era`` or a later one.
         """
         entry = self.upstreams.get(life.upstream_id)
         return (
             entry is not None
             and entry.life == life
             and life.upstream_id not in self._missing_since
-            and life.upstream_id not in self._restored
+            and (life.upstream_id not in self._restored or self._stands())
             and era_of(self.registry_revision) >= era
         )
 
+    def _stands(self) -> bool:
+        """Return whether entries of the older copy have stood for long enough."""
+        since, read_at = self._restored_at, self.registry_read_at
+        return since is not None and read_at is not None and read_at - since > STANDS_S
+
     def upstreams_of(self, service: str) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
         return [
@@ -262,6 +272,7 @@
                 upstreams=len(self.upstreams),
                 written_again=len(change.entries) - len(change.restored),
             )
+            self._restored_at = now
             self._restored = set(self.upstreams)
             self._missing_since = dict.fromkeys(self._missing_since, now)
         removed = {name for name, entry in change.entries.items() if entry is None}
--- a/src/acaciasaddle/keyspace/_restore.py
+++ b/src/acaciasaddle/keyspace/_restore.py
@@ -37,9 +37,9 @@
 
 CLAIM_ROUND_S = 0.6
 """Longest time for the claims of one round, so that the role can be renewed between two of them."""
-CLAIMS_WITHIN_S = 3.0
+CLAIMS_WITHIN_S = 4.6
 """Owners are written without the spans whose upstreams have not answered by then. Upstreams write
-their entries again within about 2 s."""
+their entries again within about 2 s, or their entries stand for ``STANDS_S`` of the view."""
 
 log = get_logger("coordinator")
 
