--- a/src/acaciasaddle/platform/standins/__init__.py
+++ b/src/acaciasaddle/platform/standins/__init__.py
@@ -15,6 +15,7 @@
 from acaciasaddle.platform.standins._messages import caller_headers
 from acaciasaddle.platform.standins._messages import configuration_value
 from acaciasaddle.platform.standins._messages import extra_path
+from acaciasaddle.platform.standins._store_app import COUNTED_S
 from acaciasaddle.platform.standins._store_app import StoreApp
 from acaciasaddle.platform.standins._store_app import StoreFaults
 from acaciasaddle.platform.standins._upstream_app import SLOW_WORK_S
@@ -23,6 +24,7 @@
 from acaciasaddle.platform.standins._upstream_app import is_own_response
 
 __all__ = [
+    "COUNTED_S",
     "DEPOSIT_PREFIX",
     "FILE_PREFIX",
     "FILE_SERVICE",
