--- a/features/steps/soak_runs_steps.py
+++ b/features/steps/soak_runs_steps.py
@@ -49,9 +49,9 @@
     "upstreams that ask to wait": (HARMLESS_FAULT,),
     "a stop under slow work": (_fault("host-1", "stop"),),
 }
-RESTORE_INTERVAL_S = 10.0
 STORE_DISTURBANCES = ("unavailable", "forgets", "slow", "loses answers", "throttled", "late writes")
 DISTURBANCE_S = 1.5
+RESTORE_INTERVAL_S = 10.0
 QUIET_LEAVE_S = 4.5
 PAUSE_SHARE = 0.05
 SLOW_SHARE = 0.3
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -51,18 +51,18 @@
     help="Callers besides the others that let their connections rest for up to four fifths of the "
     "idle limit.",
 )
-@click.option(
-    "--restores",
-    type=click.IntRange(0, 10),
-    default=0,
-    help="Times that the store is away and comes back from a copy that is 0.5 to 8 s old.",
-)
 @click.option(
     "--open-upstreams",
     type=click.IntRange(0, 100),
     default=0,
     help="Upstreams of a service without keys, which half of the requests go to.",
 )
+@click.option(
+    "--restores",
+    type=click.IntRange(0, 10),
+    default=0,
+    help="Times that the store is away and comes back from a copy that is 0.5 to 8 s old.",
+)
 @click.option(
     "--slow-share",
     type=click.FloatRange(0, 1),
@@ -105,8 +105,8 @@
     stops: bool,
     routes: int,
     resting_callers: int,
-    restores: int,
     open_upstreams: int,
+    restores: int,
     slow_share: float,
     pause_share: float,
     quiet_leave: float,
@@ -135,8 +135,8 @@
             only_stops=stops,
             routes=routes,
             resting_callers=resting_callers,
-            restores=restores,
             open_upstreams=open_upstreams,
+            restores=restores,
             slow_share=slow_share,
             slots=slots,
             pause_share=pause_share,
--- a/src/acaciasaddle/emulator/soak/_run.py
+++ b/src/acaciasaddle/emulator/soak/_run.py
@@ -114,8 +114,8 @@
     only_stops: bool = False
     routes: int = 0
     resting_callers: int = 0
-    restores: int = 0
     open_upstreams: int = 0
+    restores: int = 0
     recovery_limit_s: float = RECOVERY_LIMIT_S
 
     @property
