--- a/features/fleet_view/restored.feature
+++ b/features/fleet_view/restored.feature
@@ -77,6 +77,19 @@
     And after 31 s the registry is reported unchanged
     Then the view has "u1, u3"
 
+  # Guards against keys that are never claimed from an upstream whose entry the copy has as it left it,
+  # and against claims from one that ended or restarted, while its entry has not expired yet.
+  Scenario: an entry of the copy is confirmed once it has stood for longer than one of an ended upstream
+    When after 0.5 s the registry at 1:1 has "u1*, u2*, u3*"
+    And after 3.5 s the registry at 1:2 changes to "u1"
+    Then the confirmed incarnations are "u1"
+    When after 0.2 s the registry at 1:3 changes to "-u3"
+    Then the confirmed incarnations are "u1, u2"
+    When after 1 s the registry at 2:1 has "u1*, u2"
+    Then the confirmed incarnations are "u2"
+    When after 3.7 s the registry is reported unchanged
+    Then the confirmed incarnations are "u1, u2"
+
   Scenario: a later incarnation than the one that was removed is used
     When after 0.5 s the registry at 0:2 has "u1, u3"
     And after 1 s the registry at 1:1 has "u1*, u2 of 9*, u3*"
