Features: keys over a store that comes back from an older copy

Schedules draw holders that are overtaken by another host, and moves in progress. Entries of ended upstreams expire also if they drained since the copy, and calm begins when the last upstream that drains has ended: both broke "served within 15 s of calm" for no fault of the coordinator.

--- a/features/support/key_schedules.py
+++ b/features/support/key_schedules.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -23,6 +24,11 @@
 """Time for the first grants, without faults."""
 SCHEDULE_S = 42.0
 CALM_S = 30.0
+DRAIN_S = 4.0
+"""An upstream that drains ends after this time."""
+FIRST_COPY_S = 2.5
+"""Copies have the first rows of the role: a host that starts on a store without any takes it for a
+new one."""
 MIN_UPSTREAMS = 2
 
 
@@ -79,7 +85,19 @@
         "late_writes": rng.choice((0.0, 0.05, 0.2)),
     }
     restores = _draw_restores(rng)
-    faults = list(restores)
+    order = rng.random()
+    if order < 0.2:
+        restores[0] = _with_outage(restores[0], rng.uniform(0.0, 3.0))
+        faults = _draw_overtaken_holder(rng, restores[0])
+    elif order < 0.3:
+        restores[0] = _with_outage(restores[0], rng.uniform(0.0, 1.5), at=rng.uniform(20.0, 24.0))
+        faults = _draw_long_overtaken_holder(rng, restores[0])
+    elif order < 0.45:
+        restores[0] = _with_outage(restores[0], rng.uniform(1.0, 6.0))
+        faults = _draw_moves_in_progress(rng, restores[0])
+    else:
+        faults = []
+    faults += restores
     first = restores[0]
     back_at = first.at + first.for_s
     copied_at = back_at - first.values["age_s"]
@@ -102,7 +120,7 @@
         outage_s = rng.choice((0.0, rng.uniform(0.0, 1.5), rng.uniform(1.5, 12.0)))
         # A copy is at least as old as the outage.
         age_s = max(rng.uniform(0.5, 20.0), outage_s + 0.2)
-        values = {"age_s": min(age_s, at + outage_s - 2.5), "again": 0}
+        values = {"age_s": min(age_s, at + outage_s - FIRST_COPY_S), "again": 0}
         return Fault(at=at, kind="restore", for_s=outage_s, values=values)
 
     first = draw(rng.uniform(START_S + 6.0, 22.0))
@@ -116,10 +134,76 @@
     return restores
 
 
-def _draw_fault(rng: random.Random, at: float) -> Fault:
-    kind = rng.choice(HOST_FAULTS if rng.random() < 0.5 else UPSTREAM_FAULTS)
+def _with_outage(restore: Fault, outage_s: float, *, at: float | None = None) -> Fault:
+    at = restore.at if at is None else at
+    age_s = max(restore.values["age_s"], outage_s + 0.2)
+    values = {**restore.values, "age_s": min(age_s, at + outage_s - FIRST_COPY_S)}
+    return replace(restore, at=at, for_s=outage_s, values=values)
+
+
+def _draw_overtaken_holder(rng: random.Random, restore: Fault) -> list[Fault]:
+    """Return faults after which two hosts take themselves for the last holder of the role.
+
+    The first one is cut off from the store, and the second one moves keys before it is lost. After
+    the restore the first one claims keys that it does not know to have moved. An upstream that
+    released some may have restarted and forgotten the token.
+    """
+    back_at = restore.at + restore.for_s
+    cut_at = max(START_S, restore.at - rng.uniform(3.0, 6.0))
+    moved_at = cut_at + rng.uniform(1.9, 2.9)
+    return [
+        _draw_cut_off_holder(rng, cut_at, back_at),
+        _draw_fault(rng, moved_at, rng.choice(("join", "join", "drain", "end"))),
+        _draw_fault(
+            rng,
+            rng.uniform(moved_at + 0.4, back_at + 1.5),
+            rng.choice(("restart", "restart", "move")),
+        ),
+        _draw_loss_of_holder(rng, restore),
+    ]
+
+
+def _draw_long_overtaken_holder(rng: random.Random, restore: Fault) -> list[Fault]:
+    """Return the same for so long that keys are moved without a release by their owner."""
+    back_at = restore.at + restore.for_s
+    cut_at = restore.at - rng.uniform(14.5, 16.0)
+    silent = _draw_fault(rng, cut_at + rng.uniform(0.0, 2.0), "silent")
+    return [
+        _draw_cut_off_holder(rng, cut_at, back_at),
+        replace(silent, for_s=back_at + rng.uniform(-0.5, 1.0) - silent.at),
+        _draw_loss_of_holder(rng, restore),
+    ]
+
+
+def _draw_moves_in_progress(rng: random.Random, restore: Fault) -> list[Fault]:
+    """Return faults by which keys are about to move when the store is lost."""
+    at = restore.at - rng.uniform(0.0, 1.0)
+    slow = [_draw_fault(rng, at - 0.1, "slow releases") for _ in range(4)]
+    return [
+        *(replace(fault, for_s=restore.for_s + 3.0) for fault in slow),
+        _draw_fault(rng, at, rng.choice(("join", "drain"))),
+    ]
+
+
+def _draw_cut_off_holder(rng: random.Random, cut_at: float, back_at: float) -> Fault:
+    cut = _draw_fault(rng, cut_at, "cut from store", coordinator=True)
+    return replace(cut, for_s=max(0.1, back_at + rng.uniform(-0.5, 0.8) - cut_at))
+
+
+def _draw_loss_of_holder(rng: random.Random, restore: Fault) -> Fault:
+    at = rng.uniform(restore.at - 0.3, restore.at + restore.for_s)
+    kind = rng.choice(("kill", "kill", "freeze", "cut from store"))
+    lost = _draw_fault(rng, at, kind, coordinator=True)
+    values = {**lost.values, "again_s": rng.uniform(2.0, 10.0)}
+    return replace(lost, for_s=rng.uniform(2.0, 10.0), values=values)
+
+
+def _draw_fault(
+    rng: random.Random, at: float, kind: str = "", *, coordinator: bool = False
+) -> Fault:
+    kind = kind or rng.choice(HOST_FAULTS if rng.random() < 0.5 else UPSTREAM_FAULTS)
     values = {
-        "coordinator": rng.random() < 0.6,
+        "coordinator": rng.random() < 0.6 or coordinator,
         "index": rng.randrange(100),
         "again_s": rng.choice((0.05, rng.uniform(0.1, 2.0), rng.uniform(2.0, 10.0))),
     }
@@ -134,7 +218,9 @@
         player = Player(model)
         for fault in schedule.faults:
             model.nursery.start_soon(player.play, fault)
-        end = max([SCHEDULE_S, *(fault.at + fault.for_s for fault in schedule.faults)])
+        end = max(
+            [SCHEDULE_S, *(fault.at + max(fault.for_s, DRAIN_S) for fault in schedule.faults)]
+        )
         await trio.sleep(end)
         player.heal()
         model.set_calm(True)
@@ -309,7 +395,7 @@
             return
         upstream = self._upstream(fault)
         drain(upstream)
-        await trio.sleep(4.0)
+        await trio.sleep(DRAIN_S)
         if upstream.alive:
             self._model.end_upstream(upstream)
 
--- a/features/support/restoring_table.py
+++ b/features/support/restoring_table.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
 CALL_TIMEOUT_S = 0.9
@@ -49,6 +50,7 @@
     """Rows by name, the version of the last transaction, and the era.
 
     While it is not ``up``, it answers no call; writes that are on their way then wait.
+    ``after_write`` is called with the names of the rows that a transaction has written.
     """
 
     def __init__(self, *, era: int) -> None:
@@ -58,6 +60,7 @@
         self.restored_at: float | None = None
         self.up = True
         self.up_again = trio.Event()
+        self.after_write: Callable[[Collection[str]], None] = lambda names: None
         self._times = [0.0]
         self._states: list[tuple[int, dict[str, StoredRow]]] = [(0, {})]
 
@@ -84,8 +87,10 @@
         self.rows = {name: row for name, row in self.rows.items() if name not in removals}
         for name, value in puts.items():
             self.rows[name] = StoredRow(version=self.version, value=value)
+        version = self.version
         self._note_state()
-        return self.version
+        self.after_write(puts.keys())
+        return version
 
     def restore(self, *, at: float) -> None:
         """Return to the state at an earlier time, in a new era."""
@@ -94,6 +99,12 @@
         self.restored_at = trio.current_time()
         self._note_state()
 
+    def last_time_when(self, holds: Callable[[dict[str, StoredRow]], bool]) -> float:
+        """Return the latest time at which the rows were in a certain state."""
+        return max(
+            at for at, (_, rows) in zip(self._times, self._states, strict=True) if holds(rows)
+        )
+
     def set_up(self, up: bool) -> None:
         """Make the store answer, or stop answering."""
         self.up = up
