--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -46,6 +46,12 @@
     When a caller sends the raw request "GET /1 HTTP/1.1~Host: a~~POST /2 HTTP/1.1~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
     Then the responses are "200 /1, 100, 200 /2 abc"
 
+  # Guards against an interim response, which HTTP/1.0 does not have, taken for the final one.
+  Scenario: an upload of HTTP/1.0 is not asked for its body
+    Given a listener whose handler takes "0" s
+    When a caller sends the raw request "POST /1 HTTP/1.0~Host: a~Expect: 100-continue~Content-Length: 3~~abc"
+    Then the responses are "200 /1 abc"
+
   Scenario: a body that is sent without being asked for is not buffered without limit
     Given a listener whose handler takes "0.5" s
     When a caller sends a request and then, without waiting, a body without end that waits to be asked for
@@ -62,6 +68,19 @@
     When a caller sends the raw request "GET /{5000} HTTP/1.1~Host: a~~"
     Then the responses are "431"
 
+  # Guards against the limit that was in force when the connection became idle.
+  Scenario Outline: a request head is held to the limit in force while it arrives
+    Given a listener whose handler takes "0" s
+    And the limit of a request head changes from <before> to <after> bytes, 0.1 s after a caller has connected
+    When a caller sends a request head of 5000 bytes in two parts after 0.2 s
+    Then the handler saw <count> requests
+    And the first response has status <status>
+
+    Examples:
+      | before | after | status | count |
+      | 4096   | 8192  | 200    | 1     |
+      | 8192   | 4096  | 431    | 0     |
+
   Scenario: an idle connection is closed
     Given a listener whose handler takes "0" s
     When a caller sends nothing for 0.5 s
@@ -110,16 +129,27 @@
     Then the responses are "200 /2"
     And the last response closes the connection
 
-  Scenario: a listener that stops on a busy machine answers all callers that wait for it
+  Scenario Outline: a listener that stops on a busy machine answers all callers that wait for it
     Given a listener whose handler takes "0" s
-    When 40 callers send a request before the listener stops, and each takes the process 10 ms
+    When 40 callers send a request before the listener stops, and each takes the process <time> ms
     Then all of them are answered
 
+    Examples:
+      | time |
+      | 10   |
+      | 40   |
+
   Scenario: a request head that does not end is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "GET / HTTP/1.1~Host" and waits
     Then the responses are "408"
 
+  # Guards against a refusal of requests that the process itself has read late.
+  Scenario: a request head that ends in time while the process is busy is not refused
+    Given a listener whose handler takes "0" s
+    When 10 callers end their request heads in time, and the process is busy beyond the limit
+    Then all of them are answered
+
   Scenario: a request is cancelled when its caller disconnects
     Given a listener whose handler takes "5" s
     When a caller sends "GET /1" at once and disconnects after 0.05 s
--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -9,12 +9,16 @@
 from behave import given
 from behave import then
 
+from acaciasaddle.emulator.soak import RESTORE
+from acaciasaddle.emulator.soak import RESTORE_WITH_LATE_WRITES
 from acaciasaddle.emulator.soak import check_records
 from acaciasaddle.emulator.soak import draw_changes
 from acaciasaddle.emulator.soak import draw_faults
 from acaciasaddle.emulator.soak import draw_reloads
+from acaciasaddle.emulator.soak import draw_restores
 from acaciasaddle.emulator.soak import draw_stops
 from acaciasaddle.emulator.soak import judged_pauses
+from acaciasaddle.emulator.soak import summarize_restores
 
 Records = list[dict[str, Any]]
 
@@ -124,7 +128,48 @@
     return records + attempts
 
 
+def _cut_at_any_time(
+    count: int, *, kept: bool = True, key: int | None = 1, lasted_s: float = 0.5
+) -> Records:
+    """Return the records of requests that reached an upstream and whose connections then ended."""
+    records: Records = []
+    for number in range(count):
+        sent, request_id = 10.0 + number, f"r{number}"
+        attempt = {**_attempt("unknown"), "id": request_id, "started": sent, "sent": sent}
+        attempt |= {"at": sent + lasted_s, "status": 0, "kept": kept, "key": key}
+        records += [{**_run(sent + 0.1), "id": request_id}, attempt]
+    return records
+
+
+STORE_DOWN = {"kind": "fault", "at": 9.0, "target": "store", "name": "slow", "length_s": 4.0}
+
 RECORDS: dict[str, Records] = {
+    "a request answered with 502 while it ran, 2 s after a stop": _stopped(
+        sent=2.5, closed=3.0, status=502
+    ),
+    "a request answered with 502 after it ran, 2 s after a stop": [
+        *_stopped(sent=2.5, closed=3.0, status=502),
+        {"kind": "ended", "at": 2.9, "id": "r", "life": "u1@1"},
+    ],
+    "a request answered with 504 while it ran, once its time was over": _stopped(
+        sent=2.5, closed=4.55, status=504
+    ),
+    "a request answered with 502 while it ran, after its upstream was killed": [
+        {"kind": "signalled", "at": 2.8, "name": "u1", "signum": 9},
+        *_stopped(sent=2.5, closed=3.0, status=502),
+    ],
+    "four requests on kept connections that were passed on and cut": _cut_at_any_time(4),
+    "three requests on kept connections that were passed on and cut": _cut_at_any_time(3),
+    "four requests on new connections that were passed on and cut": _cut_at_any_time(4, kept=False),
+    "four requests that their callers gave up": _cut_at_any_time(4, lasted_s=6.0),
+    "four requests without a key that were cut while the store was down": [
+        STORE_DOWN,
+        *_cut_at_any_time(4, key=None),
+    ],
+    "four requests with a key that were cut while the store was down": [
+        STORE_DOWN,
+        *_cut_at_any_time(4),
+    ],
     "a request sent 2.1 s after a leaving answer": _after_leaving(sent=3.1),
     "a request sent 1.9 s after a leaving answer": _after_leaving(sent=2.9),
     "a request sent 2.1 s after it to a later start": _after_leaving(sent=3.1, life="u1@2"),
@@ -230,7 +275,10 @@
     @staticmethod
     @then('records of {name} give the finding "{rule}"')
     def gives_finding(context: Any, name: str, rule: str) -> None:
-        assert [finding.rule for finding in check_records(RECORDS[name])] == [rule]
+        rules = [finding.rule for finding in check_records(RECORDS[name])]
+        assert set(rules) == {rule}, rules
+        # Of the requests that are lost at any time, each gives a finding.
+        assert len(rules) == (4 if rule == "lost" else 1), rules
 
     @staticmethod
     @then("records of {name} give no finding")
@@ -303,6 +351,73 @@
             steps = [after - before for before, after in pairwise(limits)]
             assert min(steps) < 0 < max(steps), limits
 
+    @staticmethod
+    def _draw_restores(seed: int) -> list[Any]:
+        return draw_restores(seed=seed, count=5, window_s=12.0, upstreams=["u1", "u2"])
+
+    @staticmethod
+    @given("the restores of seeds {first:d} to {last:d}")
+    def restores_drawn(context: Any, first: int, last: int) -> None:
+        seeds = range(first, last + 1)
+        context.restores = {seed: SoakFaultSteps._draw_restores(seed) for seed in seeds}
+
+    @staticmethod
+    @then("drawing the restores again gives the same ones, which differ between seeds")
+    def restores_reproducible(context: Any) -> None:
+        again = {seed: SoakFaultSteps._draw_restores(seed) for seed in context.restores}
+        assert again == context.restores
+        assert len({tuple(faults) for faults in again.values()}) == len(again)
+
+    @staticmethod
+    @then("an upstream is started again {first:g} to {last:g} s before each restore")
+    def joins(context: Any, first: float, last: float) -> None:
+        names = set()
+        for faults in context.restores.values():
+            for restart, restore in zip(faults[::2], faults[1::2], strict=True):
+                names.add(restore.name)
+                assert (restore.target, restart.target[0]) == ("store", "u"), (restart, restore)
+                # The load has not begun before 0 s.
+                lead_s = restore.at_s - restart.at_s - restart.length_s
+                assert restart.at_s == 0.0 or first <= lead_s <= last, (restart, restore)
+        assert names == {RESTORE, RESTORE_WITH_LATE_WRITES}, names
+
+    @staticmethod
+    @then("the keys without an owner, the outcomes and the calls after two restores are counted")
+    def summarized(context: Any) -> None:
+        restores = [
+            {"kind": "restored", "at": 11.4, "left": 10.0, "returned": 11.0, "age_s": 3.0},
+            {"kind": "restored", "at": 30.4, "left": 29.0, "returned": 30.0, "age_s": 3.0},
+        ]
+        leases = [
+            _held(5.0, "u1@1", until=12.0, first=0, last=4_095),
+            _held(14.5, "u2@1", until=70.0, first=0, last=2_047),
+            _held(15.0, "u2@1", until=70.0, first=2_048, last=4_095),
+            _held(5.0, "u3@1", until=70.0, first=4_096, last=8_191),
+            _released(20.0, "u3@1", 4_096, 6_143),
+            _held(20.5, "u2@1", until=70.0, first=4_096, last=6_143),
+            _held(5.0, "u4@1", until=70.0, first=8_192, last=65_535),
+            {"kind": "dead", "at": 40.0, "upstream": "u4"},
+            _held(45.0, "u4@2", until=70.0, first=8_192, last=65_535),
+        ]
+        attempts = [
+            {**_attempt(outcome), "started": started, "at": started}
+            for outcome, started in (
+                ("not-run", 10.9),
+                ("not-run", 11.0),
+                ("completed", 20.9),
+                ("completed", 21.1),
+                ("unknown", 39.0),
+                ("completed", 60.0),
+            )
+        ]
+        records = sorted([*restores, *leases, *attempts], key=lambda record: record["at"])
+        first, second = summarize_restores(records, store_calls=[7, 8])
+        assert first.unowned_s == (0.5, 2.5, 3.0), first
+        assert first.outcomes == {"not-run": 1, "completed": 1}, first
+        assert (first.away_s, first.age_s, first.store_calls) == (1.0, 3.0, 7), first
+        assert second.unowned_s == (5.0,) * 28, second
+        assert (second.outcomes, second.store_calls) == ({"unknown": 1}, 8), second
+
     @staticmethod
     @then("faults of one target do not overlap")
     def no_overlap(context: Any) -> None:
--- a/src/acaciasaddle/emulator/cli/_soak.py
+++ b/src/acaciasaddle/emulator/cli/_soak.py
@@ -51,6 +51,18 @@
     help="Callers besides the others that let their connections rest for up to four fifths of the "
     "idle limit.",
 )
+@click.option(
+    "--open-upstreams",
+    type=click.IntRange(0, 100),
+    default=0,
+    help="Upstreams of a service without keys, which half of the requests go to.",
+)
+@click.option(
+    "--restores",
+    type=click.IntRange(0, 10),
+    default=0,
+    help="Times that the store is away and comes back from a copy that is 0.5 to 8 s old.",
+)
 @click.option(
     "--slow-share",
     type=click.FloatRange(0, 1),
@@ -93,6 +105,8 @@
     stops: bool,
     routes: int,
     resting_callers: int,
+    open_upstreams: int,
+    restores: int,
     slow_share: float,
     pause_share: float,
     quiet_leave: float,
@@ -121,6 +135,8 @@
             only_stops=stops,
             routes=routes,
             resting_callers=resting_callers,
+            open_upstreams=open_upstreams,
+            restores=restores,
             slow_share=slow_share,
             slots=slots,
             pause_share=pause_share,
@@ -146,6 +162,8 @@
             messages = "; ".join(str(exc) for exc in leaf_exceptions(group))
             raise click.ClickException(f"seed {options.seed}: {messages}") from None
     click.echo(f"seed {options.seed}: attempts {dict(sorted(result.outcomes.items()))}")
+    for number, summary in enumerate(result.restores, 1):
+        click.echo(f"seed {options.seed}: restore {number}: {summary}")
     for finding in result.findings:
         click.echo(f"seed {options.seed}: {finding.rule}: {finding.detail}")
     return not result.findings
@@ -158,16 +176,18 @@
     show_default=True,
     help="ip:port; port 0 is any free port.",
 )
-def users_store(address: str) -> None:
+@click.option("--no-era", is_flag=True, help="Send no Store-Era.")
+def users_store(address: str, no_era: bool) -> None:
     """Run a stand-in for the users' store.
 
     Prints {"ready": "ip:port"} once it listens.
     """
 
     async def main() -> None:
-        app = StoreApp()
+        app = StoreApp(sends_era=not no_era)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(app.expire_entries)
+            nursery.start_soon(app.keep_copies)
             await run_server(app, address)
             nursery.cancel_scope.cancel()
 
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -28,6 +28,7 @@
 from acaciasaddle.forward._upstreams import UpstreamStates
 from acaciasaddle.http1 import ClientConnection
 from acaciasaddle.keyspace import LoadSample
+from acaciasaddle.memory import BodyTerms
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.observe import get_logger
 from acaciasaddle.routing import Repeat
@@ -37,6 +38,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from acaciasaddle.fleet import FleetView
@@ -48,10 +50,13 @@
     from acaciasaddle.http1 import RawHeaders
     from acaciasaddle.http1 import Response
     from acaciasaddle.keyspace import Span
+    from acaciasaddle.memory import MemoryBound
     from acaciasaddle.observe import Metrics
 
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a request that states none, or 0."""
+LAST_RANK = 2**31
+"""Rank of a request without a route."""
 RESPONSE_GRACE_S = 0.1
 """Time after a request's deadline in which a response that is on its way is still accepted."""
 MIN_ATTEMPT_S = 0.02
@@ -136,14 +141,16 @@
         budget: RepeatBudget,
         data_centre: str,
         metrics: Metrics | None = None,
+        memory: MemoryBound | None = None,
     ) -> None:
+        """``memory`` bounds the responses of upstreams."""
         self._metrics = metrics or NullMetrics()
         self._view = view
         self._dialect = dialect
         self._budget = budget
         self._states = UpstreamStates(data_centre=data_centre)
         self._splitter = TrafficSplitter()
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(memory=memory)
         self._random = random.Random()
         self._samples: list[LoadSample] = []
         self._slot_times = SlotTimes()
@@ -175,6 +182,20 @@
         self._reported_busy = self._states.busy()
         return self._reported_busy
 
+    def body_terms(
+        self, target: str, fields: Mapping[str, str], *, received_at: float
+    ) -> BodyTerms:
+        """Return the terms of a request with a large body, whose head was read at a given time."""
+        metadata = self._dialect.read_request(fields)
+        routes = self._view.routes
+        route = routes.match(fields.get("host", ""), target) if routes is not None else None
+        wait_s = metadata.deadline_s or DEFAULT_DEADLINE_S
+        return BodyTerms(
+            request_id=metadata.request_id,
+            rank=route.rank if route is not None else LAST_RANK,
+            ends_at=received_at + (min(wait_s, route.timeout_s) if route is not None else wait_s),
+        )
+
     async def handle(self, req: CallerRequest) -> CallerResponse:
         """Return the response to a request; refusals and failures become error responses.
 
@@ -332,6 +353,7 @@
                 raise _refused("the key has no owner now", NO_UPSTREAM_RETRY_S, "choose")
             if not self._view.upstreams_of(service):
                 raise _refused("no upstream takes new work", NO_UPSTREAM_RETRY_S, "choose")
+            self._refuse_if_stopping(pending, sent_at=wait_until)
             with trio.move_on_at(wait_until) as scope:
                 await changed.wait()
             if scope.cancelled_caught:
@@ -347,6 +369,7 @@
         self._metrics.count(f"forward.blocked.{block.reason.replace(' ', '_')}")
         ends_in_time = block.until + MIN_ATTEMPT_S < pending.ends_at
         if block.reason is BlockReason.ASKED_TO_WAIT and wait_s <= OWNER_WAIT_S and ends_in_time:
+            self._refuse_if_stopping(pending, sent_at=block.until)
             await trio.sleep_until(block.until)
             return
         longest_s = wait_s if block.reason is BlockReason.ASKED_TO_WAIT else MAX_RETRY_AFTER_S
@@ -361,13 +384,7 @@
         slot_s = self._slot_times.of(upstream.upstream_id)
         route = pending.route
         expected_s = expected_response_s(slot_s=slot_s, busy=busy, slots=upstream.slots)
-        if self._stop is not None and not self._stop.allows(
-            now=now,
-            request_ends_at=pending.ends_at + RESPONSE_GRACE_S,
-            expected_s=expected_s,
-            repeatable=pending.repeatable,
-        ):
-            raise _refused("this host stops", STOPPING_RETRY_S, "choose")
+        self._refuse_if_stopping(pending, sent_at=now, expected_s=expected_s)
         yields = route.bulky and self._recent_arrivals.has_more_urgent(
             pending.service.name, route.rank
         )
@@ -389,6 +406,18 @@
             )
             raise _refused("the upstream is too busy", seconds, "choose")
 
+    def _refuse_if_stopping(
+        self, pending: _PendingRequest, *, sent_at: float, expected_s: float = 0.0
+    ) -> None:
+        """Raise ``RefusedError`` if this host's stop may break off a request sent at that time."""
+        if self._stop is not None and not self._stop.allows(
+            now=sent_at,
+            request_ends_at=pending.ends_at + RESPONSE_GRACE_S,
+            expected_s=expected_s,
+            repeatable=pending.repeatable,
+        ):
+            raise _refused("this host stops", STOPPING_RETRY_S, "choose")
+
     def _busy_at(self, upstream_id: str) -> int:
         """Return the number of requests of all hosts at an upstream, as far as known.
 
@@ -589,7 +618,9 @@
         if status == 421:
             # The key has probably moved; wait for the change of owners to arrive.
             changed = self._view.changed
-            with trio.move_on_after(OWNER_WAIT_S / 2):
+            wait_until = trio.current_time() + OWNER_WAIT_S / 2
+            self._refuse_if_stopping(pending, sent_at=wait_until)
+            with trio.move_on_at(wait_until):
                 await changed.wait()
             return True
         if self._busy_at(owner.upstream_id) >= owner.slots:
@@ -685,7 +716,9 @@
 
 def _caller_response(resp: Response) -> CallerResponse:
     headers = end_to_end_headers(resp.headers)
-    return CallerResponse(status=resp.status, headers=headers, body=resp.body, reason=resp.reason)
+    return CallerResponse(
+        status=resp.status, headers=headers, body=resp.body, reason=resp.reason, hold=resp.hold
+    )
 
 
 def _refused(
--- a/src/acaciasaddle/keyspace/_role.py
+++ b/src/acaciasaddle/keyspace/_role.py
@@ -36,6 +36,8 @@
 HEAD_START_S = 1.0
 """Time for which hosts leave the role in a restored store to its last holder, which alone knows who
 may hold which keys."""
+FIRST_ERA = 1
+"""A store that never came back from a copy has no higher era."""
 STEP_DOWN_S = 5.0
 """Time for which a host does not compete for the role after it stepped down."""
 
@@ -99,10 +101,15 @@
         """The host that has the role, as far as known: ``<host id>@<incarnation>``."""
         return str(self._value.get("member", ""))
 
+    @property
+    def was_written_earlier(self) -> bool:
+        """Whether the store came back from an older copy since the row was last seen."""
+        return era_of(self.version) != self._table.era
+
     @property
     def is_of_earlier_era(self) -> bool:
         """Whether the store came back from an older copy since this host took the role."""
-        return self.taken and era_of(self.version) != self._table.era
+        return self.taken and self.was_written_earlier
 
     @property
     def earlier_rows(self) -> bool:
@@ -264,8 +271,10 @@
 
         If these change, a host that does not know eras may still have the role.
         """
+        # A copy from before the first write has no rows of an earlier era.
+        may_be_restored = self._era is None and self._table.era > FIRST_ERA
         self._note_era(self._table.era)
-        if scan.earlier_revision > self._earlier_revision:
+        if may_be_restored or scan.earlier_revision > self._earlier_revision:
             self.restored_at = self._clock.now()
         self._earlier_revision = scan.earlier_revision
 
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -23,6 +23,7 @@
 from acaciasaddle.keyspace import Coordinator
 from acaciasaddle.keyspace import LoadHistory
 from acaciasaddle.links import Links
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.node._settings import load_node_settings
 from acaciasaddle.node._watch import Watcher
 from acaciasaddle.observe import LoopMonitor
@@ -78,12 +79,16 @@
             ),
             hosts=lambda: self.links.hosts,
         )
+        self.memory = MemoryBound(
+            host_bytes=int(settings.capacity.memory_mb * 1_000_000), metrics=self.metrics
+        )
         self.forwarder = Forwarder(
             view=self.view,
             dialect=PlatformDialect(),
             budget=self.budget,
             metrics=self.metrics,
             data_centre=settings.data_centre,
+            memory=self.memory,
         )
         self.load = LoadHistory()
         self.coordinator = Coordinator(
@@ -115,6 +120,8 @@
             limits=self._limits,
             handle=self.forwarder.handle,
             metrics=self.metrics,
+            memory=self.memory,
+            body_terms=self.forwarder.body_terms,
         )
         servers = [self.callers]
         if settings.metrics_address is not None:
@@ -123,14 +130,19 @@
                     address=settings.metrics_address,
                     limits=CallerLimits,
                     handle=self._metrics_page,
+                    memory=self.memory,
                 )
             )
         readiness = HttpServer(
-            address=settings.readiness_address, limits=CallerLimits, handle=self._readiness
+            address=settings.readiness_address,
+            limits=CallerLimits,
+            handle=self._readiness,
+            memory=self.memory,
         )
         self.listener = Listener(
             servers=(*servers, readiness), callers=self.callers, grace_s=bounds.grace_s
         )
+        self._loop_monitor = LoopMonitor(metrics=self.metrics)
         self.kernel = Kernel()
         self.watcher = Watcher(
             view=self.view,
@@ -148,6 +160,7 @@
 
     async def run(self) -> None:
         """Run the services until SIGTERM or SIGINT, then stop them."""
+        trio.lowlevel.add_instrument(self._loop_monitor)
         # Install the handlers first: without them a signal ends the process at once.
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
@@ -160,6 +173,9 @@
 
         A signal that nobody takes from the receiver is raised again when it closes, and would then
         end a process that is about to stop in good order.
+
+        The grace time runs from the signal, which a busy process sees late. The stop therefore
+        begins at the earliest time at which the signal may have arrived.
         """
         stopping = False
         async for signum in signals:
@@ -170,7 +186,10 @@
             else:
                 stopping = True
                 log.info("stopping on signal", signal=signum)
-                self.forwarder.note_stop(self.listener.announce_stop())
+                delay_s = self._loop_monitor.longest_delay_s()
+                stop = self.listener.announce_stop(signalled_after=trio.current_time() - delay_s)
+                self.forwarder.note_stop(stop)
+                self.memory.refuse_waiting()
                 self.kernel.shutdown()
 
     async def _run_services(self) -> None:
@@ -195,6 +214,9 @@
             "fleet.upstreams": float(len(view.upstreams)),
             "store.calls": float(self._store.calls),
             "forward.connections_opened": float(self.forwarder.connections_opened),
+            "memory.used_bytes": float(self.memory.used),
+            "memory.bound_bytes": float(self.memory.total),
+            "memory.uploads_waiting": float(self.memory.waiting),
             "process.peak_memory_bytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
             * 1024.0,
         }
@@ -232,5 +254,4 @@
     configure_node_logging(level=settings.log_level, host=settings.host_id)
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 100)
-    node = Node(settings=settings)
-    trio.run(node.run, instruments=[LoopMonitor(metrics=node.metrics)])
+    trio.run(Node(settings=settings).run)
