--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -58,6 +58,7 @@
 
     def __init__(self, *, settings: NodeSettings) -> None:
         self._settings = settings
+        self._no_signal_at: float | None = None
         clock = self._clock = BootClock()
         statsd = settings.statsd
         self.metrics = RegistryMetrics(
@@ -153,10 +154,22 @@
         # Install the handlers first: without them a signal ends the process at once.
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._note_time)
                 nursery.start_soon(self._handle_signals, signals)
                 await self._run_services()
                 nursery.cancel_scope.cancel()
 
+    async def _note_time(self) -> None:
+        """Note the time, until cancelled, for the start of a stop.
+
+        When the time is noted, a signal may be on its way to its handler. It is handled before the
+        time is noted again, so the time before the last one is certain.
+        """
+        noted_at = trio.current_time()
+        while True:
+            self._no_signal_at, noted_at = noted_at, trio.current_time()
+            await trio.sleep(SIGNAL_POLL_S)
+
     async def _handle_signals(self, signals: AsyncIterator[int]) -> None:
         """Stop on the first SIGTERM or SIGINT; go on until cancelled.
 
@@ -164,18 +177,10 @@
         end a process that is about to stop in good order.
 
         The grace time runs from the signal, which a busy process sees late. The stop therefore
-        begins at the last time at which no signal had arrived: the wait before the current one
-        would have returned it. The current one may have begun when a signal was in transit.
+        begins at the last time at which no signal was waiting.
         """
         stopping = False
-        waiting_since = trio.current_time()
-        while True:
-            none_until, waiting_since = waiting_since, trio.current_time()
-            signum = 0
-            with trio.move_on_after(SIGNAL_POLL_S):
-                signum = await anext(signals)
-            if not signum:
-                continue
+        async for signum in signals:
             if signum == signal.SIGHUP:
                 log.info("SIGHUP received; settings are only read at start")
             elif stopping:
@@ -183,7 +188,7 @@
             else:
                 stopping = True
                 log.info("stopping on signal", signal=signum)
-                stop = self.listener.announce_stop(signalled_after=none_until)
+                stop = self.listener.announce_stop(signalled_after=self._no_signal_at)
                 self.forwarder.note_stop(stop)
                 self.kernel.shutdown()
 
