--- a/src/acaciasaddle/keyspace/_restore.py
+++ b/src/acaciasaddle/keyspace/_restore.py
@@ -16,6 +16,7 @@
 
 from acaciasaddle.errors import AuthorityLostError
 from acaciasaddle.errors import UpstreamError
+from acaciasaddle.keyspace._grants import KEY_RENEWAL_S
 from acaciasaddle.keyspace._grants import ORDER_TIMEOUT_S
 from acaciasaddle.keyspace._leases import lease_end
 from acaciasaddle.keyspace._role import ROLE_LEASE_S
@@ -116,7 +117,7 @@
         self._view = view
         self._clock = clock
         self._write_at = restored_at + CLAIMS_WITHIN_S
-        self._accepted: list[KnownSpan] = []
+        self._accepted: dict[KnownSpan, float] = {}
         self._added: list[KnownSpan] = []
 
     @property
@@ -130,9 +131,14 @@
         return [(known.service, known.span) for known in self._accepted]
 
     async def claim(self) -> None:
-        """Claim the keys of all upstreams that have written their entries in this era."""
+        """Claim the keys of all upstreams that have written their entries in this era.
+
+        Claims that are accepted but not written yet are renewed.
+        """
+        now = self._clock.now()
+        due = [known for known, at in self._accepted.items() if now - at >= KEY_RENEWAL_S]
         by_owner: dict[Owner, list[KnownSpan]] = {}
-        for known in self._waiting:
+        for known in [*due, *self._waiting]:
             by_owner.setdefault(known.span.owner, []).append(known)
         with trio.move_on_after(CLAIM_ROUND_S):
             async with trio.open_nursery() as nursery:
@@ -148,16 +154,19 @@
     async def _claim_from(self, owner: Owner, spans: list[KnownSpan]) -> None:
         for known in spans:
             service, span = known.service, known.span
+            claimed_at = self._clock.now()
             try:
                 await self._leases.claim(span)
             except (FencedError, ReplacedError) as exc:
                 log.warning("claim refused", reason=str(exc), fence=span.fence, service=service)
+                self._accepted.pop(known, None)
             except (AuthorityLostError, UpstreamError) as exc:
                 log.info("claim failed", reason=str(exc), fence=span.fence, service=service)
                 return
             else:
-                self._accepted.append(known)
-            self._waiting.remove(known)
+                self._accepted[known] = claimed_at
+            if known in self._waiting:
+                self._waiting.remove(known)
 
     def add_to(self, owners: Mapping[str, KeyMap], *, era: int) -> dict[str, KeyMap]:
         """Return the owners with the accepted spans, once these can be written.
@@ -176,5 +185,6 @@
 
     def note_written(self) -> None:
         """Note that the owners returned by ``add_to`` were written."""
-        self._accepted = [item for item in self._accepted if item not in self._added]
+        for known in self._added:
+            self._accepted.pop(known, None)
         self._added = []
