--- a/features/memory/bound.feature
+++ b/features/memory/bound.feature
@@ -25,10 +25,10 @@
   Scenario: an upload waits no longer than it can be served
     Given the memory of bodies on a host with 200 MB
     When these uploads arrive
-      | name | at | MB | rank | held for | time left |
-      | a    | 0  | 74 | 1    | 5        | 20        |
-      | b    | 0  | 10 | 1    | 1        | 3         |
-    Then the uploads end as "a held at 0, b refused at 2.5"
+      | name | at  | MB | rank | held for | time left |
+      | a    | 0   | 74 | 1    | 5        | 20        |
+      | b    | 0.1 | 10 | 1    | 1        | 3         |
+    Then the uploads end as "a held at 0, b refused at 2.6"
     And no memory is held
 
   Scenario: an upload whose connection ends while it waits leaves its place
