--- a/features/memory/bound.feature
+++ b/features/memory/bound.feature
@@ -27,8 +27,8 @@
     When these uploads arrive
       | name | at  | MB | rank | held for | time left |
       | a    | 0   | 74 | 1    | 5        | 20        |
-      | b    | 0.1 | 10 | 1    | 1        | 2.9       |
-    Then the uploads end as "a held at 0, b refused at 2.5"
+      | b    | 0.1 | 10 | 1    | 1        | 3         |
+    Then the uploads end as "a held at 0, b refused at 2.6"
     And no memory is held
 
   Scenario: an upload whose connection ends while it waits leaves its place
