Links: newer announcements do not put off the request for the configuration

Cause: a host asks the coordinator for the configuration 0.7 s after the newest version was announced, and each newer one began that time anew. With one every 0.62 s, it never asked; its own reads timed out on its link (v106 at 28.9 s, v150 at 36.8 s). Change: the time runs from the first announced version that is newer than the host's own. A host that keeps up with a storm does not ask. Evidence: features/links/changes.feature, 'while new ones keep coming', failed 3 of 3 without a change and passes.

--- a/features/links/changes.feature
+++ b/features/links/changes.feature
@@ -50,3 +50,9 @@
     Then the host has to read the configuration itself
     When the link runs for 1.2 s
     Then the host has configuration 5
+
+  Scenario: a host that cannot read configurations itself gets them while new ones keep coming
+    Given a coordinator with configuration 5 and a host with configuration 4, linked
+    When a new configuration reaches the coordinator every 0.5 s
+    And the link runs for 4 s
+    Then the host is at most 2.5 s behind the coordinator
--- a/features/steps/links_changes_steps.py
+++ b/features/steps/links_changes_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
@@ -270,6 +271,12 @@
     def linked(context: Any, newer: int, older: int) -> None:
         context.link_versions = (newer, older)
         context.link_runs = []
+        context.link_change_s = math.inf
+
+    @staticmethod
+    @when("a new configuration reaches the coordinator every {seconds:g} s")
+    def changes(context: Any, seconds: float) -> None:
+        context.link_change_s = seconds
 
     @staticmethod
     @when("the link runs for {seconds:g} s")
@@ -307,8 +314,18 @@
             async with trio.open_nursery() as nursery:
                 for link in links:
                     await nursery.start(link.run)
+                started = trio.current_time()
                 with trio.move_on_after(seconds):
                     while True:
+                        changes = int((trio.current_time() - started) / context.link_change_s)
+                        views[0].apply_configuration(
+                            Configuration(
+                                version=newer + changes,
+                                routes=(),
+                                services={},
+                                limits=CallerLimits(),
+                            )
+                        )
                         for view in views:
                             view.note_registry_read(age_s=0.0)
                             view.note_configuration_read()
@@ -331,3 +348,11 @@
     @then("the host has configuration {version:d}")
     def has_configuration(context: Any, version: int) -> None:
         assert LinkedHostsSteps._run_links(context, sum(context.link_runs)) == (True, version)
+
+    @staticmethod
+    @then("the host is at most {seconds:g} s behind the coordinator")
+    def has_recent_configuration(context: Any, seconds: float) -> None:
+        run_s = sum(context.link_runs)
+        _, version = LinkedHostsSteps._run_links(context, run_s)
+        oldest = context.link_versions[0] + int((run_s - seconds) / context.link_change_s)
+        assert version >= oldest, f"configuration {version} after {run_s} s, not {oldest} or newer"
--- a/src/acaciasaddle/links/_links.py
+++ b/src/acaciasaddle/links/_links.py
@@ -9,6 +9,7 @@
 
 import random
 import socket
+from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -66,6 +67,8 @@
 their next poll, within 0.5 s, and link to it within another 0.7 s."""
 OWN_READ_S = 0.7
 """Time that a host has to read a new configuration itself before it asks the coordinator for it."""
+MAX_NEWER_VERSIONS = 256
+"""Announced versions that are noted while this host lags behind; the first one decides."""
 MAX_AGE_S = 1.6
 """Hosts read from the platform themselves if the coordinator last read the configuration or the
 registry longer ago than this."""
@@ -117,7 +120,8 @@
         self._busy = busy
         self._owner_histories: dict[str, OwnersHistory] = {}
         self._announced_version = 0
-        self._announced_at: float | None = None
+        # The announced versions that are newer than this host's, and when each was announced.
+        self._newer_versions: deque[tuple[int, float]] = deque()
         self._busy_by_host: dict[str, dict[str, int]] = {}
         self._state_received_at: float | None = None
         self._state_is_fresh = False
@@ -447,7 +451,8 @@
         )
         if state.configuration_version != self._announced_version:
             self._announced_version = state.configuration_version
-            self._announced_at = self._state_received_at
+            if len(self._newer_versions) < MAX_NEWER_VERSIONS:
+                self._newer_versions.append((self._announced_version, self._state_received_at))
         if self._state_is_fresh and self.configuration_is_up_to_date():
             self._view.note_configuration_read(age_s=state.configuration_age_s)
         self._apply_registry(
@@ -481,9 +486,14 @@
     def _needs_configuration(self) -> bool:
         """Return whether to ask the coordinator for the configuration.
 
-        True if ``configuration_is_up_to_date`` does not hold ``OWN_READ_S`` after the newest
-        version was announced.
+        True if this host is still behind ``OWN_READ_S`` after the first version that is newer than
+        its own was announced. Versions that are announced meanwhile do not put that off.
         """
-        if self._announced_at is None or self.configuration_is_up_to_date():
+        cfg = self._view.configuration
+        version = cfg.version if cfg is not None else 0
+        while self._newer_versions and self._newer_versions[0][0] <= version:
+            self._newer_versions.popleft()
+        if not self._newer_versions or self.configuration_is_up_to_date():
             return False
-        return self._clock.now() - self._announced_at > OWN_READ_S
+        _, announced_at = self._newer_versions[0]
+        return self._clock.now() - announced_at > OWN_READ_S
