Forwarding: memory of failed and rejected responses is free when their request ends

What callers see: large uploads and responses wait or get 503 although little is in progress, after upstreams have sent large responses that are not passed on (without a signature, a 503 that promises nothing, a rejection with a body).

Cause: the handler kept the error under a second name. Error, traceback and frame formed a cycle, which held the request and the last response until the next collection of the oldest generation: rare, since the thresholds are 20,000, 20 and 100. Such responses keep their part of the bound, and may be the one that exceeds it. Bodies of refused small requests stayed as well, which no bound counts.

Change: the error has no name outside of the block that handles it.

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -354,3 +354,15 @@
     Given upstream "u1" of the open service answers "silent"
     When a booking is forwarded and its caller leaves after 0.1 s
     Then the log shows that the request was cut off after 1 send
+
+  Scenario Outline: the memory of a response that is not passed on is free again: <answer>
+    Given upstream "u1" of the open service answers "<answer>"
+    When a booking with 20 s left is forwarded without garbage collection
+    Then the caller gets <status> ""
+    And no memory of bodies is held
+
+    Examples:
+      | answer          | status |
+      | unsigned large  | 502    |
+      | promising large | 502    |
+      | full large      | 503    |
--- a/features/steps/forward_forwarder_steps.py
+++ b/features/steps/forward_forwarder_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import math
 import tracemalloc
 from collections import Counter
@@ -13,6 +14,7 @@
 from behave import given
 from behave import then
 from behave import when
+from features.support.scripted_upstream import LARGE_BYTES
 from features.support.scripted_upstream import RESPONSES
 from features.support.scripted_upstream import ScriptedServer
 from structlog.testing import capture_logs
@@ -31,6 +33,8 @@
 from acaciasaddle.keyspace import KeyRange
 from acaciasaddle.keyspace import Owner
 from acaciasaddle.keyspace import Span
+from acaciasaddle.memory import Hold
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.observe import NullMetrics
 from acaciasaddle.platform import PlatformDialect
 from acaciasaddle.routing import CallerLimits
@@ -177,6 +181,11 @@
     def stops(context: Any, seconds: float) -> None:
         context.stops_in_s = seconds
 
+    @staticmethod
+    @given("other responses hold {megabytes:d} MB of the memory of a host with 200 MB")
+    def memory_held(context: Any, megabytes: int) -> None:
+        context.held_mb = megabytes
+
     @staticmethod
     @given("no configuration")
     def no_configuration(context: Any) -> None:
@@ -216,6 +225,15 @@
         context.deadline_ms = seconds * 1000
         ForwarderRequestSteps._forward(context, [f"/patient-{kind}/1"])
 
+    @staticmethod
+    @when("a booking with {seconds:d} s left is forwarded without garbage collection")
+    def without_collection(context: Any, seconds: int) -> None:
+        gc.disable()
+        try:
+            ForwarderRequestSteps.patient_request(context, "booking", seconds)
+        finally:
+            gc.enable()
+
     @staticmethod
     @when("a lookup with key {key:d} is forwarded")
     def keyed_lookup(context: Any, key: int) -> None:
@@ -254,12 +272,17 @@
                 view.apply_registry(RegistryChange(revision=1, complete=True, entries=entries))
                 await ForwarderRequestSteps._set_owner(context, view, entries, nursery)
                 limits = BudgetLimits(ratio=0.0, window_s=10.0, slack=getattr(context, "slack", 64))
+                memory = MemoryBound()
+                held = Hold(
+                    bound=memory, kind="response", size=getattr(context, "held_mb", 0) * 1_000_000
+                )
                 forwarder = Forwarder(
                     view=view,
                     dialect=PlatformDialect(),
                     budget=RepeatBudget(limits=limits, hosts=lambda: 1),
                     data_centre="east",
                     metrics=context.metrics,
+                    memory=memory,
                 )
                 if hasattr(context, "stops_in_s"):
                     now = trio.current_time()
@@ -284,6 +307,8 @@
                     context.waited = trio.current_time() - started
                     await trio.sleep(0.02)
                     ForwarderRequestSteps._restart(context, view, number + 1)
+                held.release()
+                context.memory_used = memory.used
                 context.peak_bytes = tracemalloc.get_traced_memory()[1]
                 tracemalloc.stop()
                 await trio.sleep(0.05)
@@ -351,6 +376,17 @@
         got = (context.response.status, context.response.body.decode())
         assert got == (status, body), got
 
+    @staticmethod
+    @then("the caller gets {status:d} with the large body")
+    def large_response(context: Any, status: int) -> None:
+        got = (context.response.status, len(context.response.body))
+        assert got == (status, LARGE_BYTES), got
+
+    @staticmethod
+    @then("no memory of bodies is held")
+    def no_memory_held(context: Any) -> None:
+        assert context.memory_used == 0, context.memory_used
+
     @staticmethod
     @then("upstreams got {count:d} requests")
     def arrivals(context: Any, count: int) -> None:
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -13,6 +13,7 @@
 CLOSE = "close"
 ENDLESS = "<endless>"
 REPEATED_BYTES = 65_536
+LARGE_BYTES = 3_000_000
 """Smallest amount in which the endless part of a response is sent."""
 
 
@@ -113,8 +114,15 @@
     )
 
 
+LARGE = f"Request-Id: {{id}}\r\nContent-Length: {LARGE_BYTES}\r\n\r\n" + "x" * LARGE_BYTES
+
 RESPONSES = {
     "ok": ok(),
+    "ok large": f"+HTTP/1.1 200 OK\r\nResponse-Signature: s.1\r\n{LARGE}",
+    "unsigned large": f"+HTTP/1.1 200 OK\r\n{LARGE}",
+    "promising large": f"+HTTP/1.1 503 No\r\n{LARGE}",
+    "full large": f"+HTTP/1.1 503 No\r\nNot-Executed: 1\r\n{LARGE}",
+    "fails large": f"+HTTP/1.1 500 No\r\nResponse-Signature: s.2\r\n{LARGE}",
     "full": not_run(503),
     "full copied": "+=" + not_run(503).lstrip("+"),
     "fails copied": "+=HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nResponse-Signature: s.2\r\n"
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -206,11 +206,10 @@
         try:
             pending = self._accept(req, metadata)
             response = await self._serve(pending)
-        except RefusedError as raised:
-            exc = _correct_outcome(raised, pending)
-            response = self._refusal_response(exc)
-            self._log_request(req, metadata, pending, response, reason=exc.message, step=exc.step)
-            return response
+        except RefusedError as exc:
+            # A name that outlives the block would be a cycle, by way of the traceback, that keeps
+            # the bodies of the request and of its responses.
+            return self._refuse(req, metadata, pending, exc)
         except trio.Cancelled:
             self._metrics.count("forward.cut_off")
             self._log_outcome(
@@ -220,6 +219,18 @@
         self._log_request(req, metadata, pending, response, reason="", step="")
         return response
 
+    def _refuse(
+        self,
+        req: CallerRequest,
+        metadata: RequestMetadata,
+        pending: _PendingRequest | None,
+        raised: RefusedError,
+    ) -> CallerResponse:
+        exc = _correct_outcome(raised, pending)
+        response = self._refusal_response(exc)
+        self._log_request(req, metadata, pending, response, reason=exc.message, step=exc.step)
+        return response
+
     def _accept(self, req: CallerRequest, metadata: RequestMetadata) -> _PendingRequest:
         """Return the pending request with its route and service, or raise ``RefusedError``."""
         cfg, routes = self._view.configuration, self._view.routes
