Forwarding: a response that is dropped gives its memory back before the next one is received

What callers see: 504 for a request whose first send ended with a large 500, or behind a large response to another request, although an upstream answers the next send at once.

Cause: the dropped response stayed in a local name while the next one was received. It may be the one that exceeds the bound; then the next one waits for the memory of its own request until the deadline.

Change: rejected, failed and foreign responses are deleted before the next send or response.

Evidence: with 87 MB held by others, a 500 of 3 MB from u1 and 200 from u2, the caller got 504 after 2 s, and so did the one behind a response to another request; both new scenarios failed and pass now (86 scenarios of forwarder.feature, 42 of http1).

--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -366,3 +366,17 @@
       | unsigned large  | 502    |
       | promising large | 502    |
       | full large      | 503    |
+
+  Scenario: a request that is sent again does not keep the memory of its first response
+    Given upstream "u1" of the open service answers "fails large"
+    And upstream "u2" of the open service answers "ok large"
+    And other responses hold 87 MB of the memory of a host with 200 MB
+    When a lookup with 2 s left is forwarded
+    Then upstream "u1" got 1 requests
+    And the caller gets 200 with the large body
+
+  Scenario: a response to another request does not keep its memory while the next one is received
+    Given upstream "u1" of the open service answers "other large first"
+    And other responses hold 87 MB of the memory of a host with 200 MB
+    When a lookup with 2 s left is forwarded
+    Then the caller gets 200 with the large body
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -122,6 +122,10 @@
     "unsigned large": f"+HTTP/1.1 200 OK\r\n{LARGE}",
     "promising large": f"+HTTP/1.1 503 No\r\n{LARGE}",
     "full large": f"+HTTP/1.1 503 No\r\nNot-Executed: 1\r\n{LARGE}",
+    "other large first": f"+HTTP/1.1 200 OK\r\nResponse-Signature: s.1\r\n{LARGE}".replace(
+        "{id}", "r-0"
+    )
+    + f"HTTP/1.1 200 OK\r\nResponse-Signature: s.1\r\n{LARGE}",
     "fails large": f"+HTTP/1.1 500 No\r\nResponse-Signature: s.2\r\n{LARGE}",
     "full": not_run(503),
     "full copied": "+=" + not_run(503).lstrip("+"),
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -282,7 +282,10 @@
             if self._dialect.is_not_run(resp.status, resp.fields):
                 if self._dialect.is_other_upstream(resp.fields, upstream.upstream_id):
                     self._states.of(upstream.upstream_id).note_replaced(upstream)
-                await self._handle_rejection(pending, upstream, resp.status)
+                status = resp.status
+                # Its memory must be free before the next send, whose response may wait for memory.
+                del resp
+                await self._handle_rejection(pending, upstream, status)
                 continue
             if resp.status >= 500 and self._may_resend(pending, upstream):
                 log.info(
@@ -291,6 +294,7 @@
                     upstream=upstream.upstream_id,
                     status=resp.status,
                 )
+                del resp
                 continue
             return _caller_response(resp)
 
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -291,6 +291,8 @@
             # A new parser reads the next response, beginning with the bytes already received after
             # this one. The request that it is given is not sent; its method decides how a response
             # is framed.
+            # Its memory must be free before the next one, which may wait for memory.
+            del response
             self._note_dropped()
             rest, closed = self._parser.trailing_data
             if closed or not framed:
