Callers: a rejected upload gives its memory back at once

What callers see: while the rest of a refused upload is discarded (up to 5 s), or responses before a late one are due, other uploads wait or get 503 although the memory is free.

Cause: the memory of the body was only released when the connection had closed, although the body is dropped with the error.

Change: it is released when the request is rejected.

Evidence: an upload in chunks that was refused at 6.4 MB kept 6.5 MB of a bound of 10 MB for 5.0 s after its 503; one of 3 MB that got 408 behind a request in progress kept 3.1 MB until that request had ended. Both new scenarios failed with these figures and pass now.

--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -359,6 +359,10 @@
         """Answer the request that is being read, and close the connection after that."""
         self._close_reason = "rejected request"
         self.closing = self._reading_done = True
+        if self._hold is not None:
+            # The part of the body that has been read is dropped with the error.
+            self._hold.release()
+            self._hold = None
         exchange = _Exchange(self._parser)
         exchange.response = response
         exchange.done.set()
