Callers: input is limited while an interim response cannot be sent

What callers see: nothing, until the process exceeds its host's memory and ends with all its requests.

Cause: a caller that does not read its responses, and sends on behind Expect: 100-continue, holds up the sending of the 100. Meanwhile the connection received whatever came, and had no time limit.

Change: the limit for input behind a body that is held back applies until the 100 is sent, and the connection ends if that is not by the time at which the body is due.

Evidence: 5 MB sent on a stream that takes no response were all in the parser; the new scenario failed with 5,000,000 bytes and passes now (39 scenarios of callers and memory/callers.feature). It uses a stream in memory; it was not tried with full buffers of a kernel.

--- a/features/memory/callers.feature
+++ b/features/memory/callers.feature
@@ -12,3 +12,8 @@
     Given a listener on a host with 20 MB, whose uploads have 0.5 s
     When a caller sends 2 MB of an upload of 3 MB behind a request that takes 2 s
     Then no memory was held 1 s after the upload began
+
+  Scenario: a connection whose interim response cannot be sent does not receive without a limit
+    Given a listener on a host with 20 MB
+    When a caller that reads nothing sends 5 MB after a request with Expect: 100-continue
+    Then the connection has received at most 0.6 MB
--- a/features/steps/memory_callers_steps.py
+++ b/features/steps/memory_callers_steps.py
@@ -140,7 +140,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(conn.run)
                 await caller.send_all(
-                    b"PUT / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n"
+                    b"PUT / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+                    b"Content-Length: 1000\r\n\r\n"
                 )
                 for _ in range(size * MB // CHUNK_BYTES):
                     await caller.send_all(bytes(CHUNK_BYTES))
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -447,8 +447,7 @@
             self._holds_body_back = False
             self._notify_progress()
             read_until = await self._hold_memory(head, fields, received_at)
-            data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self._stream.send_all(data or b"")
+            await self._send_interim(read_until)
         elif "content-length" in fields or "transfer-encoding" in fields:
             read_until = await self._hold_memory(head, fields, received_at)
         else:
@@ -465,6 +464,17 @@
             received_at=received_at,
         )
 
+    async def _send_interim(self, send_until: float) -> None:
+        """Ask the caller for its body. Input is limited meanwhile: the caller may not read this."""
+        data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+        self._holds_body_back = True
+        with trio.move_on_at(send_until) as scope:
+            await self._stream.send_all(data or b"")
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError("the caller did not read the interim response in time")
+        self._holds_body_back = False
+        self._notify_progress()
+
     async def _read_head(self) -> h11.Request | None:
         self._note_idle()
         while not self._parser.trailing_data[0]:
