--- a/features/forward/forwarder.feature
+++ b/features/forward/forwarder.feature
@@ -354,3 +354,29 @@
     Given upstream "u1" of the open service answers "silent"
     When a booking is forwarded and its caller leaves after 0.1 s
     Then the log shows that the request was cut off after 1 send
+
+  Scenario Outline: the memory of a response that is not passed on is free again: <answer>
+    Given upstream "u1" of the open service answers "<answer>"
+    When a booking with 20 s left is forwarded without garbage collection
+    Then the caller gets <status> ""
+    And no memory of bodies is held
+
+    Examples:
+      | answer          | status |
+      | unsigned large  | 502    |
+      | promising large | 502    |
+      | full large      | 503    |
+
+  Scenario: a request that is sent again does not keep the memory of its first response
+    Given upstream "u1" of the open service answers "fails large"
+    And upstream "u2" of the open service answers "ok large"
+    And other responses hold 87 MB of the memory of a host with 200 MB
+    When a lookup with 2 s left is forwarded
+    Then upstream "u1" got 1 requests
+    And the caller gets 200 with the large body
+
+  Scenario: a response to another request does not keep its memory while the next one is received
+    Given upstream "u1" of the open service answers "other large first"
+    And other responses hold 87 MB of the memory of a host with 200 MB
+    When a lookup with 2 s left is forwarded
+    Then the caller gets 200 with the large body
