Responses: only one that its connection sends next may exceed the bound on memory

What callers see: pipelined requests whose first response comes last get 504 for that one, and all the others late; large responses of all other connections wait as well.

Cause: one response at a time may exceed the bound, so that tasks do not wait for each other. With pipelining it may be one that waits for the response before it, and that one for its memory.

Change: a response may exceed the bound only while it is the next one of its connection.

--- a/features/memory/node.feature
+++ b/features/memory/node.feature
@@ -39,3 +39,9 @@
     When 4 uploads of 60 MB arrive and the node gets SIGTERM 0.5 s later
     Then each request was answered, and those with 200 were run
     And the node ended within 6 s of the signal
+
+  Scenario: large responses behind one that comes later
+    Given a node on a host with 200 MB, with 2 routes and an upstream that takes 0.5 s for an upload
+    When 1 callers each send 14 requests on one connection, with responses of 10 MB
+    Then the node's memory stayed below 200 MB
+    And all of them were answered with 200
--- a/features/steps/memory_bound_steps.py
+++ b/features/steps/memory_bound_steps.py
@@ -169,7 +169,7 @@
         async def receive() -> None:
             hold: Hold | None = None
             for megabytes in range(1, size + 1):
-                hold = await context.bound.grow_response(hold, megabytes * MB)
+                hold = await context.bound.grow_response(hold, megabytes * MB, is_next=lambda: True)
                 context.most = max(context.most, context.bound.used)
                 await trio.sleep(0.001)
             await trio.sleep(seconds)
--- a/features/steps/memory_node_steps.py
+++ b/features/steps/memory_node_steps.py
@@ -135,6 +135,21 @@
 
         NodeMemorySteps._run(context, load)
 
+    @staticmethod
+    @when(
+        "{callers:d} callers each send {count:d} requests on one connection, with responses of "
+        "{size:g} MB"
+    )
+    def pipelined(context: Any, callers: int, count: int, size: float) -> None:
+        async def load(node: LargeBodies, nursery: trio.Nursery) -> None:
+            pipeline = partial(
+                node.pipeline, count=count, answer_bytes=int(size * MB), deadline_s=10.0
+            )
+            for _ in range(callers):
+                nursery.start_soon(pipeline)
+
+        NodeMemorySteps._run(context, load)
+
     @staticmethod
     @then("the node ended within {seconds:g} s of the signal")
     def ended_in_time(context: Any, seconds: float) -> None:
--- a/features/support/large_bodies.py
+++ b/features/support/large_bodies.py
@@ -184,6 +184,37 @@
             # The node does not read the body of a request that it has refused.
             pass
 
+    async def pipeline(self, *, count: int, answer_bytes: int, deadline_s: float) -> None:
+        """Send requests on one connection without waiting, and read their answers.
+
+        The first one has a large body, so that its answer comes last.
+        """
+        address, _, port = self.deployment.host_addresses[HOST_NAME].rpartition(":")
+        async with await trio.open_tcp_stream(address, int(port)) as stream:
+            for number in range(count):
+                body_bytes = 0 if number else SMALL_BODY_BYTES + 1
+                headers = caller_headers(
+                    request_id=uuid.uuid4().hex, key=None, deadline_s=deadline_s
+                )
+                headers.append((b"Content-Length", str(body_bytes).encode()))
+                head = f"POST {FILE_PREFIX}{answer_bytes} HTTP/1.1\r\n".encode()
+                head += b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+                await stream.send_all(head + b"\r\n" + bytes(body_bytes))
+            unread = b""
+            for _ in range(count):
+                received = await _read_head(stream, unread)
+                if received is None:
+                    self.seen[0] += 1
+                    return
+                first_line, fields, unread = received
+                left = int(fields["content-length"])
+                while len(unread) < left:
+                    left -= len(unread)
+                    unread = await stream.receive_some(RECEIVE_BYTES)
+                    assert unread, "the answer ends early"
+                unread = unread[left:]
+                self.seen[int(first_line.split()[1])] += 1
+
     async def change_configuration(self, *, times: int, interval_s: float, routes: int) -> None:
         """Write configurations with ``routes`` unused routes; in each, all routes have changed."""
         self.deployment.unused_routes = routes
@@ -199,10 +230,9 @@
 
 
 async def _read_head(
-    stream: trio.SocketStream,
+    stream: trio.SocketStream, received: bytes = b""
 ) -> tuple[str, dict[str, str], bytes] | None:
     """Return the first line, the fields and the bytes behind the head, or ``None`` at the end."""
-    received = b""
     while b"\r\n\r\n" not in received:
         data = await stream.receive_some(RECEIVE_BYTES)
         if not data:
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -411,6 +411,8 @@
                     self._reading_done = self._reading_done or last
                     await self._send(exchange, exchange.response, close=last)
                 self._pending.popleft().discard()
+                if self._pending:
+                    self._memory.notify_next()
                 self._note_idle()
                 self._idle_scope.deadline = self._close_at
                 self._notify_progress()
@@ -462,8 +464,13 @@
             fields=fields,
             body=body,
             received_at=received_at,
+            is_next=partial(self._is_next, self._parser),
         )
 
+    def _is_next(self, parser: h11.Connection) -> bool:
+        """Return whether the response to the request that a parser has read is sent next."""
+        return bool(self._pending) and self._pending[0].parser is parser
+
     async def _send_interim(self, send_until: float) -> None:
         """Ask the caller for its body. Input is limited meanwhile: the caller may not read this."""
         data = self._parser.send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/src/acaciasaddle/forward/_forwarder.py
+++ b/src/acaciasaddle/forward/_forwarder.py
@@ -480,6 +480,7 @@
                 target=pending.req.target,
                 headers=self._headers(pending, upstream, started),
                 body=pending.req.body,
+                is_next=pending.req.is_next,
                 matches=lambda resp: self._dialect.answers(resp.fields, pending.metadata),
             )
             self._note_pause(upstream, resp)
--- a/src/acaciasaddle/forward/_types.py
+++ b/src/acaciasaddle/forward/_types.py
@@ -4,11 +4,13 @@
 
 from abc import ABC
 from abc import abstractmethod
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import ClassVar
 
 from acaciasaddle.http1 import RawHeaders
+from acaciasaddle.http1 import always
 from acaciasaddle.memory import Body
 from acaciasaddle.memory import Hold
 
@@ -18,7 +20,8 @@
     """A complete request of a caller.
 
     ``received_at`` is the time on trio's clock at which its head was read. Header names in
-    ``fields`` are in lower case.
+    ``fields`` are in lower case. ``is_next`` returns whether its response is the next one that its
+    connection sends.
     """
 
     method: str
@@ -27,6 +30,7 @@
     fields: Mapping[str, str]
     body: Body
     received_at: float
+    is_next: Callable[[], bool] = always
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -51,6 +51,11 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 
+def always() -> bool:
+    """Return true: a response that is not behind another one is the next one."""
+    return True
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
     """A complete response. Header names in ``fields`` are in lower case.
@@ -78,8 +83,11 @@
     whole length is, if the length is known, or else ``STEP_BYTES`` at a time.
     """
 
-    def __init__(self, *, memory: MemoryBound | None, length: int) -> None:
+    def __init__(
+        self, *, memory: MemoryBound | None, length: int, is_next: Callable[[], bool]
+    ) -> None:
         self._memory = memory
+        self._is_next = is_next
         self._length = length
         self._small = bytearray()
         self._large: LargeBody | None = None
@@ -98,7 +106,9 @@
             if size > held:
                 wanted = max(size, self._length) if self._length else size + STEP_BYTES
                 wanted = size if size <= SMALL_BODY_BYTES else wanted
-                self.hold = await self._memory.grow_response(self.hold, wanted)
+                self.hold = await self._memory.grow_response(
+                    self.hold, wanted, is_next=self._is_next
+                )
         if self._large is None and size <= SMALL_BODY_BYTES:
             self._small += data
             return True
@@ -146,6 +156,7 @@
         self.idle_since = trio.current_time()
         self.requests = 0
         self._dropped = 0
+        self._is_next = always
 
     @classmethod
     async def connect(
@@ -193,14 +204,17 @@
         headers: Sequence[tuple[bytes, bytes]],
         body: Body = b"",
         matches: Callable[[Response], bool] | None = None,
+        is_next: Callable[[], bool] = always,
     ) -> Response:
         """Send a request and return its response.
 
+        ``is_next`` returns whether the response is passed on next on the caller's connection.
         Responses for which ``matches`` returns false belong to earlier requests and are dropped.
         """
         self.reusable = False
         self.requests += 1
         self._dropped = 0
+        self._is_next = is_next
         try:
             request = h11.Request(method=method, target=target, headers=list(headers))
             head = self._parser.send(request) or b""
@@ -318,6 +332,8 @@
         if done and framed and not self._parser.trailing_data[0]:
             self._parser.start_next_cycle()
             self.reusable = True
+            # An idle connection keeps nothing of the caller.
+            self._is_next = always
 
     def _note_dropped(self) -> None:
         """Count a dropped response; raise ``UpstreamError`` if there are too many of them."""
@@ -329,7 +345,7 @@
         """Return the next final response, and whether its framing marked its end."""
         head = await self._receive_head()
         length = next((int(value) for name, value in head.headers if name == b"content-length"), 0)
-        buffer = _ReceiveBuffer(memory=self._memory, length=length)
+        buffer = _ReceiveBuffer(memory=self._memory, length=length, is_next=self._is_next)
         try:
             await self._receive_body(buffer)
         except BaseException:
--- a/src/acaciasaddle/memory/_bound.py
+++ b/src/acaciasaddle/memory/_bound.py
@@ -4,7 +4,8 @@
 cannot use, so they are never held up. Of the rest, uploads leave a part to responses.
 
 Tasks cannot wait for each other in a circle: a large upload waits only before it holds any memory,
-and of the responses that wait for memory one may exceed the bound at any time.
+and of the responses that wait for memory one may exceed the bound at any time. It is one that its
+connection sends next, so it waits for its caller only.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 from acaciasaddle.observe import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from acaciasaddle.observe import Metrics
 
 SMALL_BODY_BYTES = 65_536
@@ -216,17 +219,20 @@
         """Raise ``RefusedError`` for an upload that cannot take more memory now."""
         self._refuse("no memory is free for the rest", size, terms, self._hold_s)
 
-    async def grow_response(self, hold: Hold | None, size: int) -> Hold:
+    async def grow_response(
+        self, hold: Hold | None, size: int, *, is_next: Callable[[], bool]
+    ) -> Hold:
         """Return the memory of a response, increased to ``size``; wait until that fits.
 
-        If other responses wait as well, one of them may exceed the bound, so that there is always
-        one that goes on. A small response is never held up.
+        ``is_next`` returns whether its connection sends it next. Of the responses that wait and are
+        next, one may exceed the bound, so that there is always one that goes on. A small response
+        is never held up.
         """
         if hold is None:
             hold = Hold(bound=self, kind="response", size=0)
         waited = False
         while size > SMALL_BODY_BYTES and not self.fits("response", size - hold.size):
-            if not self._is_exceeded:
+            if not self._is_exceeded and is_next():
                 self._is_exceeded = hold.exceeds = True
             if hold.exceeds:
                 break
@@ -238,6 +244,10 @@
         hold.resize(size)
         return hold
 
+    def notify_next(self) -> None:
+        """Note that another response has become the next one of its connection."""
+        self._notify_released()
+
     def refuse_waiting(self) -> None:
         """Refuse the uploads that wait, and from now on those that would have to."""
         self._stopping = True
