A refused body is discarded for as long as it arrives

Cause: the connection of a refused upload was closed 5 s after the refusal. Closing with unread input resets the connection, so a caller that takes longer to send its body could lose the 503. Change: it closes after 5 s without input, and after 30 s in any case. Evidence: the new scenario of callers/connection.feature fails before (the connection ends) and passes now.

--- a/features/callers/connection.feature
+++ b/features/callers/connection.feature
@@ -57,6 +57,11 @@
     Then the responses are "413"
     And the handler saw 0 requests
 
+  Scenario: the answer to a refused upload reaches a caller that takes long to send it
+    Given a listener whose handler takes "0" s
+    When a caller sends an upload for which there is no memory for 20 s, and reads the answer then
+    Then the answer to the upload is 503 with a time to retry
+
   Scenario: a request head over the limit is refused
     Given a listener whose handler takes "0" s
     When a caller sends the raw request "GET /{5000} HTTP/1.1~Host: a~~"
--- a/features/steps/callers_connection_steps.py
+++ b/features/steps/callers_connection_steps.py
@@ -19,7 +19,9 @@
 from behave import when
 
 from acaciasaddle.callers import HttpServer
+from acaciasaddle.callers._connection import CallerConnection
 from acaciasaddle.forward import CallerResponse
+from acaciasaddle.memory import MemoryBound
 from acaciasaddle.routing import CallerLimits
 
 if TYPE_CHECKING:
@@ -584,3 +586,44 @@
     @then("no new connection is accepted")
     def accepts_none(context: Any) -> None:
         assert not context.accepts_connections
+
+
+class RefusedUploadSteps:
+    """Guards against a connection that is closed while its caller still sends a refused body."""
+
+    @staticmethod
+    @when(
+        "a caller sends an upload for which there is no memory for {seconds:d} s, and reads the "
+        "answer then"
+    )
+    def upload(context: Any, seconds: int) -> None:
+        async def main() -> bytes:
+            caller, host = trio.testing.memory_stream_pair()
+            stream: Any = host
+            conn = CallerConnection(
+                stream=stream,
+                limits=CallerLimits,
+                handle=lambda req: CallerSteps._handle(context, req),
+                memory=MemoryBound(host_bytes=1_000_000),
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(conn.run)
+                size = 100_000 * seconds
+                await caller.send_all(
+                    f"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n".encode()
+                )
+                for _ in range(seconds):
+                    await trio.sleep(1)
+                    await caller.send_all(bytes(100_000))
+                answer = bytes(await caller.receive_some())
+                await caller.aclose()
+            return answer
+
+        context.upload_answer = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    @staticmethod
+    @then("the answer to the upload is 503 with a time to retry")
+    def refused(context: Any) -> None:
+        head = context.upload_answer
+        assert head.startswith(b"HTTP/1.1 503 ") and b"retry-after:" in head.lower(), head
+        assert not context.handled_requests, context.handled_requests
--- a/src/acaciasaddle/callers/_connection.py
+++ b/src/acaciasaddle/callers/_connection.py
@@ -62,7 +62,7 @@
 STEP_BYTES = 1_048_576
 """Memory that a large body without length takes at a time."""
 REFUSED_BODY_S = 5.0
-"""Longest time for which the rest of a refused body is discarded before the connection closes."""
+"""The rest of a refused body is discarded until none of it has arrived for this long."""
 RETRY_JITTER = 0.3
 """Largest random addition to Retry-After, as a share of it."""
 SEND_TIMEOUT_S = 30.0
@@ -400,15 +400,25 @@
                 self._notify_progress()
                 if self._reading_done and not self._pending:
                     if self._refused:
-                        # The caller may only read the response once it has sent its body. The task
-                        # that receives discards it, and ends this one at its end.
-                        await self._stream.send_eof()
-                        await trio.sleep(REFUSED_BODY_S)
+                        await self._discard_refused_body()
                     scope.cancel()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             log.debug("connection to caller broken")
             scope.cancel()
 
+    async def _discard_refused_body(self) -> None:
+        """Leave the connection open while the rest of a refused body arrives.
+
+        The caller may only read the response once it has sent its body. The task that receives
+        discards it, and cancels this one at its end.
+        """
+        await self._stream.send_eof()
+        discarded = -1
+        with trio.move_on_after(BODY_TIMEOUT_S):
+            while discarded != self._discarded:
+                discarded = self._discarded
+                await trio.sleep(REFUSED_BODY_S)
+
     async def _read_request(self) -> CallerRequest | None:
         """Return the next request, or ``None`` if the connection closes or stays idle."""
         head = await self._read_head()
