Upstream responses: those that wait for memory hold 16 KiB each

What callers see: nothing, until the process exceeds its host's memory and ends with all its requests.

Cause: a large response first took 64 KiB without waiting, and beside that up to 64 KiB in the parser and as much in the event that waited, which no bound counts. Many responses that wait took more than the bound.

Change: a response whose length is known to be large waits behind its first 16 KiB, and until it has memory, 16 KiB are received at a time.

What remains is the requests themselves, which no bound counts.

--- a/features/memory/node.feature
+++ b/features/memory/node.feature
@@ -45,3 +45,9 @@
     When 1 callers each send 14 requests on one connection, with responses of 10 MB
     Then the node's memory stayed below 200 MB
     And all of them were answered with 200
+
+  Scenario: many responses that wait for memory
+    Given a node on a host with 200 MB, with 2 routes and an upstream that takes 0.5 s for an upload
+    When 80 callers each send 16 requests on one connection, with responses of 0.3 MB that they do not read for 5 s
+    Then the node's memory stayed below 200 MB
+    And all of them were answered with 200
--- a/features/steps/memory_node_steps.py
+++ b/features/steps/memory_node_steps.py
@@ -21,6 +21,8 @@
 LIMIT_S = 40.0
 CHANGES = 8
 CHANGE_INTERVAL_S = 0.1
+PIPELINE_INTERVAL_S = 0.03
+"""Time in which the upstream accepts the connections for one caller's requests."""
 
 
 class NodeMemorySteps:
@@ -150,6 +152,27 @@
 
         NodeMemorySteps._run(context, load)
 
+    @staticmethod
+    @when(
+        "{callers:d} callers each send {count:d} requests on one connection, with responses of "
+        "{size:g} MB that they do not read for {seconds:g} s"
+    )
+    def unread(context: Any, callers: int, count: int, size: float, seconds: float) -> None:
+        async def load(node: LargeBodies, nursery: trio.Nursery) -> None:
+            for _ in range(callers):
+                nursery.start_soon(
+                    partial(
+                        node.pipeline,
+                        count=count,
+                        answer_bytes=int(size * MB),
+                        deadline_s=30.0,
+                        read_after_s=seconds,
+                    )
+                )
+                await trio.sleep(PIPELINE_INTERVAL_S)
+
+        NodeMemorySteps._run(context, load)
+
     @staticmethod
     @then("the node ended within {seconds:g} s of the signal")
     def ended_in_time(context: Any, seconds: float) -> None:
--- a/features/support/large_bodies.py
+++ b/features/support/large_bodies.py
@@ -184,15 +184,17 @@
             # The node does not read the body of a request that it has refused.
             pass
 
-    async def pipeline(self, *, count: int, answer_bytes: int, deadline_s: float) -> None:
+    async def pipeline(
+        self, *, count: int, answer_bytes: int, deadline_s: float, read_after_s: float = 0.0
+    ) -> None:
         """Send requests on one connection without waiting, and read their answers.
 
-        The first one has a large body, so that its answer comes last.
+        If they are read at once, the first one has a large body, so that its answer comes last.
         """
         address, _, port = self.deployment.host_addresses[HOST_NAME].rpartition(":")
         async with await trio.open_tcp_stream(address, int(port)) as stream:
             for number in range(count):
-                body_bytes = 0 if number else SMALL_BODY_BYTES + 1
+                body_bytes = 0 if number or read_after_s else SMALL_BODY_BYTES + 1
                 headers = caller_headers(
                     request_id=uuid.uuid4().hex, key=None, deadline_s=deadline_s
                 )
@@ -200,6 +202,7 @@
                 head = f"POST {FILE_PREFIX}{answer_bytes} HTTP/1.1\r\n".encode()
                 head += b"".join(name + b": " + value + b"\r\n" for name, value in headers)
                 await stream.send_all(head + b"\r\n" + bytes(body_bytes))
+            await trio.sleep(read_after_s)
             unread = b""
             for _ in range(count):
                 received = await _read_head(stream, unread)
--- a/src/acaciasaddle/http1/_client.py
+++ b/src/acaciasaddle/http1/_client.py
@@ -36,6 +36,7 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Responses are held in memory until they are complete; hosts have about 200 MB."""
 UNCOUNTED_BYTES = 16_384
+"""Bytes received at a time, too, until a response has memory: all of them may wait at once."""
 STEP_BYTES = 1_048_576
 MAX_DROPPED_RESPONSES = 8
 """Interim responses and responses to earlier requests that are dropped while one is awaited."""
@@ -105,7 +106,7 @@
             held = self.hold.size if self.hold is not None else 0
             if size > held:
                 wanted = max(size, self._length) if self._length else size + STEP_BYTES
-                wanted = size if size <= SMALL_BODY_BYTES else wanted
+                wanted = size if max(size, self._length) <= SMALL_BODY_BYTES else wanted
                 self.hold = await self._memory.grow_response(
                     self.hold, wanted, is_next=self._is_next
                 )
@@ -364,10 +365,11 @@
         )
         return response, framed
 
-    async def _receive_event(self) -> object:
+    async def _receive_event(self, *, holds_memory: bool = False) -> object:
         """Return the next event; raise ``UpstreamError`` if the connection ends instead."""
+        size = RECEIVE_BYTES if holds_memory else UNCOUNTED_BYTES
         while (event := self._parser.next_event()) is h11.NEED_DATA:
-            self._parser.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            self._parser.receive_data(await self._stream.receive_some(size))
         if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
             raise self._unknown_outcome("connection closed before the end of the response")
         return event
@@ -388,7 +390,11 @@
 
     async def _receive_body(self, buffer: _ReceiveBuffer) -> None:
         """Append the body of a response to the buffer."""
-        while not isinstance(event := await self._receive_event(), h11.EndOfMessage):
+        while True:
+            holds_memory = self._memory is None or buffer.hold is not None
+            event = await self._receive_event(holds_memory=holds_memory)
+            if isinstance(event, h11.EndOfMessage):
+                return
             if isinstance(event, h11.Data) and not await buffer.add(event.data):
                 raise self._unknown_outcome("the response exceeds the size limit")
             # Otherwise it is kept until more of the body arrives.
