Stop: a pause before the signal takes at most half of the grace time

What callers see: on a process that was paused or busy for longer than the grace time and gets SIGTERM right after that, all requests in progress are cut off at once. Cause (found by the review): the stop begins at the earliest time at which the signal may have arrived, which is then the beginning of the pause. Change: it begins at most half of the grace time before the signal is seen.

--- a/features/node/stop.feature
+++ b/features/node/stop.feature
@@ -36,3 +36,8 @@
   Scenario: the grace time runs from the signal, even if the process is busy when it arrives
     When the node gets SIGTERM while its process is busy for 1 s
     Then the stop ends within the grace time of the signal
+
+  # Guards against requests that a stop breaks off at once because the process was paused before it.
+  Scenario: a stop right after a long pause leaves half of the grace time
+    When the node gets SIGTERM right after its process was busy for 3 s
+    Then the stop ends at least 0.59 s after the signal
--- a/features/steps/node_stop_steps.py
+++ b/features/steps/node_stop_steps.py
@@ -48,19 +48,23 @@
 
 
 class _BusyKernel(_SignalledKernel):
-    """Stands in for the kernel; SIGTERM arrives while the process is busy."""
+    """Stands in for the kernel; SIGTERM arrives as the process begins or ends to be busy."""
 
-    def __init__(self, *, busy_s: float) -> None:
+    def __init__(self, *, busy_s: float, at_end: bool = False) -> None:
         super().__init__()
         self._busy_s = busy_s
+        self._at_end = at_end
         self.signalled_at = 0.0
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         task_status.started()
         await trio.sleep(IDLE_S)
+        if self._at_end:
+            time.sleep(self._busy_s)
         self.signalled_at = trio.current_time()
         os.kill(os.getpid(), signal.SIGTERM)
-        time.sleep(self._busy_s)
+        if not self._at_end:
+            time.sleep(self._busy_s)
         await self._stop.wait()
         self.stopped = True
 
@@ -86,6 +90,19 @@
         context.kernel = _BusyKernel(busy_s=seconds)
         NodeStopSteps._run(context, context.kernel)
 
+    @staticmethod
+    @when("the node gets SIGTERM right after its process was busy for {seconds:g} s")
+    def signalled_after_busy(context: Any, seconds: float) -> None:
+        context.kernel = _BusyKernel(busy_s=seconds, at_end=True)
+        NodeStopSteps._run(context, context.kernel)
+
+    @staticmethod
+    @then("the stop ends at least {seconds:g} s after the signal")
+    def leaves_time(context: Any, seconds: float) -> None:
+        stop = context.node.listener.announce_stop()
+        lasts_s = stop.ends_at - context.kernel.signalled_at
+        assert lasts_s >= seconds, lasts_s
+
     @staticmethod
     @then("the stop ends within the grace time of the signal")
     def ends_in_grace_time(context: Any) -> None:
--- a/src/acaciasaddle/node/_node.py
+++ b/src/acaciasaddle/node/_node.py
@@ -49,6 +49,10 @@
 """Allocated minus freed objects at which the garbage collector examines the youngest generation.
 Python's default of 700 is reached by a single request."""
 
+MAX_SIGNAL_DELAY_SHARE = 0.5
+"""Largest share of the grace time by which a stop begins before its signal is seen. After a long
+pause the signal may also have just arrived, and requests in progress need time to end."""
+
 log = get_logger("node")
 
 
@@ -186,7 +190,8 @@
             else:
                 stopping = True
                 log.info("stopping on signal", signal=signum)
-                delay_s = self._loop_monitor.longest_delay_s()
+                longest_s = self._settings.bounds.grace_s * MAX_SIGNAL_DELAY_SHARE
+                delay_s = min(self._loop_monitor.longest_delay_s(), longest_s)
                 stop = self.listener.announce_stop(signalled_after=trio.current_time() - delay_s)
                 self.forwarder.note_stop(stop)
                 self.memory.refuse_waiting()
