Soak: no summary of restores without restores

Cause: a soak without restores ended with a ValueError, since the end of the load counted as the end of a restore that there was none of. Change: without restores, there is no summary; checks.feature has the case.

--- a/features/steps/soak_checks_steps.py
+++ b/features/steps/soak_checks_steps.py
@@ -412,6 +412,7 @@
             )
         ]
         records = sorted([*restores, *leases, *attempts], key=lambda record: record["at"])
+        assert summarize_restores([*leases, *attempts], store_calls=[]) == []
         first, second = summarize_restores(records, store_calls=[7, 8])
         assert first.unowned_s == (0.5, 2.5, 3.0), first
         assert first.outcomes == {"not-run": 1, "completed": 1}, first
--- a/src/acaciasaddle/emulator/soak/_restores.py
+++ b/src/acaciasaddle/emulator/soak/_restores.py
@@ -55,10 +55,12 @@
     ``store_calls`` are the calls of the store within ``COUNTED_S`` of each of its returns.
     """
     restores = [record for record in records if record["kind"] == "restored"]
+    if not restores:
+        return []
     attempts = [record for record in records if record["kind"] == "attempt"]
     load_ended = attempts[-1]["at"] if attempts else 0.0
     leaves = [restore["left"] for restore in restores[1:]]
-    owned = [_owned_times(records, key) for key in SAMPLED_KEYS] if restores else []
+    owned = [_owned_times(records, key) for key in SAMPLED_KEYS]
     summaries = []
     for restore, next_left, calls in zip(restores, [*leaves, load_ended], store_calls, strict=True):
         returned = restore["returned"]
