Fleet view: say why an entry of the copy that stands is taken for current

The comment named intervals of 1 s between the reports of upstreams, which deployments set differently. What counts is that entries written since the copy are written again. No code changes.

--- a/src/acaciasaddle/fleet/_view.py
+++ b/src/acaciasaddle/fleet/_view.py
@@ -31,8 +31,9 @@
 REMOVAL_MEMORY_S = 30.0
 """A removal is remembered for this long. Links report what was read a few seconds ago at most."""
 STANDS_S = 3.6
-"""An entry of an older copy that is still there this long after the store's return is of an
-upstream that lives: others expire after three intervals of 1 s, and polls see it 0.6 s later."""
+"""An entry of an older copy that is still the same this long after the store's return is as its
+upstream left it: those that were written since the copy are written again within about 2 s, and
+polls see that 0.6 s later."""
 OUTAGE_S = 1.5
 """A registry is taken to have had an outage if it was not read for this long and this host's own
 reads failed meanwhile. In a shorter one no entry expires, since upstreams may miss two reports."""
