--- a/src/acaciasaddle/keyspace/_restore.py
+++ b/src/acaciasaddle/keyspace/_restore.py
@@ -54,9 +54,10 @@
 
 
 def claim_limit_s(max_lease_s: float) -> float:
-    """Return how long after its last write the last holder may still claim keys.
+    """Return how long after its last write the last holder may find the store restored and claim.
 
-    Until then no other coordinator can have granted them without a release by their owner.
+    If the store came back sooner, no other coordinator can have granted these keys in the earlier
+    era without a release by their owner.
     """
     return lease_end(ORDER_TIMEOUT_S, max_lease_s)
 
@@ -131,7 +132,7 @@
         return [(known.service, known.span) for known in self._accepted]
 
     async def claim(self) -> None:
-        """Claim the keys of all upstreams that have written their entries in this era.
+        """Claim the keys of all upstreams whose entries are confirmed in this era.
 
         Claims that are accepted but not written yet are renewed.
         """
